--- a/src/endivelug/codec.py
+++ b/src/endivelug/codec.py
@@ -8,6 +8,7 @@
 
 from endivelug import messages
 from endivelug.exceptions import PeerProtocolError
+from endivelug.forwarding import peer_messages
 
 # The largest messages are parts of a snapshot (256 KiB) and deltas (512 KiB); 1 MiB
 # of empty arrays takes under 0.6 s to decode, 4 MiB took 2.2 s.
@@ -143,6 +144,7 @@
         messages.AgentAddress,
         messages.ListedUpstream,
         messages.Contact,
+        *peer_messages.RECORDS,
     )
 }
 
--- /dev/null
+++ b/src/endivelug/forwarding/attempt.py
@@ -0,0 +1,258 @@
+"""One attempt: sends a call to one instance and relays the answer."""
+
+import asyncio
+from collections.abc import Callable
+
+from endivelug.exceptions import UpstreamBroken, UpstreamUnreachable
+from endivelug.forwarding import attempt_limits
+from endivelug.forwarding.calls import (
+    Call,
+    Delivered,
+    Ending,
+    Failed,
+    Lost,
+    NotRun,
+    NotSent,
+)
+from endivelug.forwarding.cluster_view import ClusterView
+from endivelug.forwarding.connection_pool import IDLE_S, ConnectionPool
+from endivelug.forwarding.front_server import Caller
+from endivelug.forwarding.placing import Placement
+from endivelug.forwarding.requests import (
+    AnswerFacts,
+    SendOptions,
+    WireFormat,
+)
+from endivelug.forwarding.upstream_connection import (
+    BodyData,
+    BodyEnd,
+    ResponseHead,
+    UpstreamConnection,
+)
+
+# A connection that was idle for longer may have been closed by the upstream; a request
+# that may run only once is not risked on it.
+FRESH_IDLE_S = 3.0
+SILENCE_CHECK_S = 0.2
+MAX_PRIORITY = 9
+
+
+class AttemptRunner:
+    """Runs attempts.
+
+    Parameters
+    ----------
+    on_started : callable
+        Called with the call and its placement at the first byte of a success.
+    """
+
+    def __init__(
+        self,
+        *,
+        wire: WireFormat,
+        pool: ConnectionPool,
+        view: ClusterView,
+        clock: Callable[[], float],
+        on_started: Callable[[Call, Placement], None],
+    ) -> None:
+        self.wire = wire
+        self.pool = pool
+        self.view = view
+        self.clock = clock
+        self.on_started = on_started
+
+    async def run(self, call: Call, placement: Placement, caller: Caller) -> Ending:
+        """Send the call and return how the attempt ended."""
+        address = placement.instance.address
+        idle_s = IDLE_S if call.repeatable else FRESH_IDLE_S
+        limit_s = attempt_limits.connect_limit_s(call, now=self.clock())
+        try:
+            connection = await self.pool.acquire(
+                address, timeout_s=limit_s, max_idle_s=idle_s
+            )
+        except UpstreamUnreachable as error:
+            return NotSent(reason=str(error))
+        keep: AnswerFacts | None = None
+        try:
+            try:
+                self._send(call, placement, connection)
+            except UpstreamBroken as error:
+                return NotSent(reason=str(error))
+            call.sends += 1
+            call.runs += 1
+            ending, keep = await self._answer(call, placement, connection, caller)
+            return ending
+        except UpstreamBroken as error:
+            return Lost(reason=str(error))
+        except TimeoutError:
+            return Lost(reason="no answer in time")
+        finally:
+            if keep is not None:
+                self.pool.release(address, connection, idle_s=keep.idle_s)
+            else:
+                connection.abort()
+
+    def _send(
+        self, call: Call, placement: Placement, connection: UpstreamConnection
+    ) -> None:
+        request = call.request
+        organisation = call.organisation
+        generation = placement.weights is not None
+        options = SendOptions(
+            instance=placement.instance.name,
+            left_s=call.deadline - self.clock(),
+            organisation=organisation.name if organisation else None,
+            weights=placement.weights,
+            cache_namespace=placement.namespace,
+            fetch_from=placement.fetch_from,
+            save_to=placement.save_to,
+            priority=min(MAX_PRIORITY, call.priority) if generation else None,
+            last_event=call.splitter.last_id or request.last_event,
+        )
+        head = self.wire.upstream_head(request, options)
+
+        def accepts(answer: ResponseHead) -> bool:
+            return self.wire.belongs(request, answer)
+
+        connection.send(head, request.body, accepts=accepts)
+
+    async def _answer(
+        self,
+        call: Call,
+        placement: Placement,
+        connection: UpstreamConnection,
+        caller: Caller,
+    ) -> tuple[Ending, AnswerFacts | None]:
+        head = await self._head(call, placement, connection)
+        facts = self.wire.facts(head)
+        name = placement.instance.name
+        self.view.loads.of(name).last_answer_at = self.clock()
+        if facts.weights is not None and call.request.model is not None:
+            self.view.observe_weights(
+                placement.instance, call.request.model, facts.weights
+            )
+        if facts.not_run:
+            call.runs -= 1
+            await self._collect(call, connection)
+            return NotRun(status=head.status, reason="refused"), facts
+        if not 200 <= head.status < 300:
+            body = await self._collect(call, connection)
+            return Failed(head=head, body=body), facts
+        if not facts.sealed:
+            return Lost(reason="the answer bears no signature"), None
+        if call.route.streaming:
+            return await self._relay(call, placement, connection, caller, head, facts)
+        self._note_started(call, placement)
+        body = await self._collect(call, connection)
+        await caller.start(
+            head.status, head.reason, self.wire.caller_headers(head), body
+        )
+        return Delivered(), facts
+
+    async def _head(
+        self, call: Call, placement: Placement, connection: UpstreamConnection
+    ) -> ResponseHead:
+        now = self.clock()
+        last = attempt_limits.first_byte_at(
+            call, expected_s=placement.expected_s, now=now
+        )
+        silence_s = attempt_limits.silence_limit_s(
+            call, expected_s=placement.expected_s
+        )
+        event = asyncio.ensure_future(connection.next_event())
+        try:
+            while not event.done():
+                wait_s = last - self.clock()
+                if silence_s is not None:
+                    wait_s = min(wait_s, SILENCE_CHECK_S)
+                await asyncio.wait([event], timeout=max(0.0, wait_s))
+                if event.done():
+                    break
+                self._check_silence(placement, now, last, silence_s)
+            head = event.result()
+        except BaseException:
+            event.cancel()
+            # A failure that came in the same turn is replaced by the one raised.
+            if event.done() and not event.cancelled():
+                event.exception()
+            raise
+        assert isinstance(head, ResponseHead)
+        return head
+
+    def _check_silence(
+        self,
+        placement: Placement,
+        sent_at: float,
+        last: float,
+        silence_s: float | None,
+    ) -> None:
+        """Raise ``TimeoutError`` where the attempt has to end."""
+        now = self.clock()
+        if now >= last:
+            raise TimeoutError
+        if silence_s is None:
+            return
+        heard_at = self.view.loads.of(placement.instance.name).last_answer_at
+        if now - max(heard_at, sent_at) > silence_s:
+            raise TimeoutError
+
+    async def _collect(self, call: Call, connection: UpstreamConnection) -> bytes:
+        body = bytearray()
+        while True:
+            async with asyncio.timeout(max(0.0, self._left_s(call))):
+                event = await connection.next_event()
+            match event:
+                case BodyData(data=data):
+                    body += data
+                case BodyEnd():
+                    return bytes(body)
+
+    async def _relay(
+        self,
+        call: Call,
+        placement: Placement,
+        connection: UpstreamConnection,
+        caller: Caller,
+        head: ResponseHead,
+        facts: AnswerFacts,
+    ) -> tuple[Ending, AnswerFacts | None]:
+        """Pass whole events on as they come."""
+        splitter = call.splitter
+        splitter.discard_partial()
+        load = self.view.loads.of(placement.instance.name)
+        while True:
+            now = self.clock()
+            limit = attempt_limits.next_event_at(call, now=now)
+            async with asyncio.timeout(max(0.0, limit - now)):
+                event = await connection.next_event()
+            load.last_answer_at = self.clock()
+            match event:
+                case BodyData(data=data):
+                    self._note_started(call, placement)
+                    events = splitter.feed(data)
+                    if events:
+                        await self._pass_on(call, caller, head, b"".join(events))
+                case BodyEnd():
+                    if splitter.rest or not call.streaming:
+                        await self._pass_on(call, caller, head, bytes(splitter.rest))
+                    caller.finish()
+                    return Delivered(), facts
+
+    async def _pass_on(
+        self, call: Call, caller: Caller, head: ResponseHead, data: bytes
+    ) -> None:
+        if not call.streaming:
+            call.streaming = True
+            headers = self.wire.caller_headers(head)
+            await caller.start(head.status, head.reason, headers)
+        if data:
+            await caller.write(data)
+
+    def _note_started(self, call: Call, placement: Placement) -> None:
+        work = self.view.loads.of(placement.instance.name).work.get(call.request.id)
+        if work is None or work.started:
+            return
+        self.on_started(call, placement)
+
+    def _left_s(self, call: Call) -> float:
+        return call.deadline - attempt_limits.ANSWER_MARGIN_S - self.clock()
--- /dev/null
+++ b/src/endivelug/forwarding/cluster_view.py
@@ -0,0 +1,240 @@
+"""What one VM knows of the deployment: configuration, upstreams, weights and loads.
+
+Rows come from the platform's feed or, where that does not answer, from peers. A row is
+applied only where its version is higher than the one held, so nothing goes back.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from endivelug.forwarding.engine_load import InstanceLoads
+from endivelug.forwarding.instances import Instance, InstanceRegistry
+from endivelug.forwarding.prompt_cache import PromptCaches
+from endivelug.forwarding.records import (
+    ConfigurationRecord,
+    InstanceRecord,
+    InstanceRemoved,
+    OtherRecord,
+    RecordFormat,
+    UnreadableRecord,
+    WeightsRecord,
+)
+from endivelug.forwarding.routes import CacheStore, RoutingConfiguration
+from endivelug.forwarding.row_store import RowPage, StoredRow
+
+LogLine = Callable[..., None]
+
+
+@dataclass(slots=True, kw_only=True)
+class WantedWeights:
+    """Weights that the operator wants, and since when this VM knows."""
+
+    version: int
+    known_at: float
+
+
+class ClusterView:
+    """State that the decisions read.
+
+    Parameters
+    ----------
+    records : RecordFormat
+        Decoder of rows.
+    clock : callable
+        Seconds of a monotonic clock.
+    log : callable
+        Writes one line of a change of state.
+    on_change : callable
+        Called after a change that may let waiting requests go on.
+    """
+
+    def __init__(
+        self,
+        *,
+        records: RecordFormat,
+        clock: Callable[[], float],
+        log: LogLine,
+        on_change: Callable[[], None] = lambda: None,
+    ) -> None:
+        self.records = records
+        self.clock = clock
+        self.log = log
+        self.on_change = on_change
+        self.on_gone: Callable[[Instance], None] = lambda instance: None
+        self.configuration: RoutingConfiguration | None = None
+        self.weights: dict[str, WantedWeights] = {}
+        self.registry = InstanceRegistry()
+        self.loads = InstanceLoads()
+        self.caches = PromptCaches()
+        self.observed: dict[tuple[tuple[str, int], str], int] = {}
+        self.rows: dict[tuple[str, str], StoredRow] = {}
+        self.highest: dict[str, int] = dict.fromkeys(records.tables, 0)
+        self.read_tables: set[str] = set()
+
+    @property
+    def complete(self) -> bool:
+        """Whether enough is known to serve requests."""
+        known = self.read_tables.issuperset(self.records.tables)
+        return self.configuration is not None and known
+
+    def replace_table(self, table: str, page: RowPage, *, source: str) -> None:
+        """Apply a full read; rows that it lacks were removed."""
+        present = {row.key for row in page.rows}
+        missing = [
+            StoredRow(
+                table=table, key=key, value=b"", version=page.version, removed=True
+            )
+            for (name, key), row in self.rows.items()
+            if name == table
+            and key not in present
+            and not row.removed
+            and row.version < page.version
+        ]
+        self.apply([*page.rows, *missing], source=source)
+        self.read_tables.add(table)
+
+    def apply(self, rows: list[StoredRow], *, source: str) -> None:
+        """Apply changed rows."""
+        changed = False
+        for row in sorted(rows, key=lambda item: item.version):
+            held = self.rows.get((row.table, row.key))
+            if held is not None and held.version >= row.version:
+                continue
+            self.rows[row.table, row.key] = row
+            self.highest[row.table] = max(self.highest.get(row.table, 0), row.version)
+            self._apply(row, source)
+            changed = True
+        if changed:
+            self.on_change()
+
+    def rows_after(self, table: str, version: int) -> list[StoredRow]:
+        """Return the rows of a table that changed after a version."""
+        return [
+            row
+            for row in self.rows.values()
+            if row.table == table and row.version > version
+        ]
+
+    def expire(self) -> None:
+        """Drop the instances that did not register again after an outage."""
+        for instance in self.registry.expire(now=self.clock()):
+            self._gone(instance, "lease lapsed")
+
+    def weights_of(self, instance: Instance, model: str) -> int | None:
+        """Return the version of an engine's weights, as last seen or reported."""
+        listed = instance.version_of(model)
+        seen = self.observed.get((instance.incarnation, model))
+        if listed is None or seen is None:
+            return listed if seen is None else seen
+        return max(listed, seen)
+
+    def observe_weights(self, instance: Instance, model: str, version: int) -> None:
+        """Note the weights that an engine was seen to have."""
+        known = self.weights_of(instance, model)
+        if known is not None and version <= known:
+            return
+        self.observed[instance.incarnation, model] = version
+        self.caches.clear(instance.name)
+        self.log(
+            "engine-weights",
+            instance=instance.name,
+            model=model,
+            version=version,
+            before=known,
+        )
+        self.on_change()
+
+    def cache_store(self) -> CacheStore | None:
+        """Return the store of kept KV cache, or None."""
+        stores = self.configuration.cache_stores if self.configuration else []
+        return stores[0] if stores else None
+
+    def _apply(self, row: StoredRow, source: str) -> None:
+        match self.records.decode(row):
+            case ConfigurationRecord(configuration=configuration):
+                self._configure(configuration, row, source)
+            case WeightsRecord(model=model, version=version):
+                self._want(model, version, row, source)
+            case InstanceRecord(instance=instance):
+                self._register(instance, row, source)
+            case InstanceRemoved(name=name):
+                gone = self.registry.remove(
+                    name, row_version=row.version, now=self.clock()
+                )
+                if gone is not None:
+                    self._gone(gone, "removed from the registry")
+            case UnreadableRecord(reason=reason):
+                self.log(
+                    "row-unreadable",
+                    table=row.table,
+                    key=row.key,
+                    row_version=row.version,
+                    reason=reason,
+                )
+            case OtherRecord():
+                pass
+
+    def _configure(
+        self, configuration: RoutingConfiguration, row: StoredRow, source: str
+    ) -> None:
+        before = self.configuration.version if self.configuration else None
+        self.configuration = configuration
+        for store in configuration.cache_stores:
+            # The store's own capacity is not needed: it drops by itself, and a part
+            # that it dropped costs a failed look-up of a millisecond.
+            self.caches.add_holder(store.address, capacity_tokens=10_000_000)
+        self.log(
+            "configuration-in-force",
+            version=configuration.version,
+            before=before,
+            row_version=row.version,
+            source=source,
+        )
+
+    def _want(self, model: str, version: int, row: StoredRow, source: str) -> None:
+        known = self.weights.get(model)
+        if known is not None and known.version >= version:
+            return
+        self.weights[model] = WantedWeights(version=version, known_at=self.clock())
+        self.log(
+            "weights-wanted",
+            model=model,
+            version=version,
+            row_version=row.version,
+            source=source,
+        )
+
+    def _register(self, instance: Instance, row: StoredRow, source: str) -> None:
+        known = self.registry.get(instance.name)
+        replaced = self.registry.put(instance, row_version=row.version)
+        if replaced is not None:
+            self._forget(replaced)
+        if known is None or replaced is not None or known.draining != instance.draining:
+            self.log(
+                "instance-registered",
+                instance=instance.name,
+                service=instance.service,
+                address=instance.address,
+                draining=instance.draining,
+                started_ms=instance.started_ms,
+                row_version=row.version,
+                source=source,
+            )
+        service = (
+            self.configuration.services.get(instance.service)
+            if self.configuration
+            else None
+        )
+        tokens = service.engine.cache_tokens if service and service.engine else 0
+        if tokens:
+            self.caches.add_holder(instance.name, capacity_tokens=tokens)
+
+    def _gone(self, instance: Instance, reason: str) -> None:
+        self._forget(instance)
+        self.log("instance-gone", instance=instance.name, reason=reason)
+
+    def _forget(self, instance: Instance) -> None:
+        self.caches.remove_holder(instance.name)
+        for key in [key for key in self.observed if key[0] == instance.incarnation]:
+            del self.observed[key]
+        self.on_gone(instance)
--- /dev/null
+++ b/src/endivelug/forwarding/forwarder.py
@@ -0,0 +1,320 @@
+"""The course of a caller's request: authorise, place, send, repeat or refuse."""
+
+import json
+import random
+from collections.abc import Callable
+
+from endivelug.exceptions import EndivelugError
+from endivelug.forwarding.attempt import AttemptRunner
+from endivelug.forwarding.attempt_limits import ANSWER_MARGIN_S
+from endivelug.forwarding.calls import (
+    Call,
+    Delivered,
+    Ending,
+    Failed,
+    Lost,
+    NotRun,
+    NotSent,
+)
+from endivelug.forwarding.cluster_view import ClusterView, LogLine
+from endivelug.forwarding.dispatcher import Dispatcher
+from endivelug.forwarding.front_server import Caller
+from endivelug.forwarding.node_metrics import NodeMetrics
+from endivelug.forwarding.placing import Placement
+from endivelug.forwarding.requests import InboundRequest, WireFormat
+from endivelug.forwarding.retry_budget import SharedRetryBudget
+from endivelug.forwarding.routes import Organisation, RoutingConfiguration
+from endivelug.forwarding.upstream_connection import Headers
+
+# An instance that refused is busy for about the time of a short request.
+REFUSED_S = 0.3
+UNREACHABLE_S = 0.6
+# Failures in a row after which an instance is left for a while.
+FAILURES_TO_AVOID = 3
+FAILED_S = 0.8
+# A generation needs at least this long once it is sent.
+GENERATION_MIN_S = 0.4
+PLAIN_MIN_S = 0.1
+RETRY_AFTER_MIN_S = 0.25
+RETRY_AFTER_SPREAD_S = 0.35
+
+
+class Forwarder:
+    """Handles the requests of callers.
+
+    Parameters
+    ----------
+    is_known : callable
+        Whether this VM knows enough to serve requests.
+    on_avoid : callable
+        Called with the name of an instance that got a reason to be avoided.
+    """
+
+    def __init__(
+        self,
+        *,
+        wire: WireFormat,
+        view: ClusterView,
+        dispatcher: Dispatcher,
+        runner: AttemptRunner,
+        budget: SharedRetryBudget,
+        metrics: NodeMetrics,
+        clock: Callable[[], float],
+        rng: random.Random,
+        log: LogLine,
+        on_avoid: Callable[[str, float], None],
+    ) -> None:
+        self.wire = wire
+        self.view = view
+        self.dispatcher = dispatcher
+        self.runner = runner
+        self.budget = budget
+        self.metrics = metrics
+        self.clock = clock
+        self.rng = rng
+        self.log = log
+        self.on_avoid = on_avoid
+
+    async def handle(
+        self, method: str, target: str, headers: Headers, body: bytes, caller: Caller
+    ) -> None:
+        """Answer one request."""
+        now = self.clock()
+        try:
+            request = self.wire.decode_request(
+                method=method, target=target, headers=headers, now=now
+            )
+        except EndivelugError as error:
+            await self._refuse("", caller, 400, str(error))
+            return
+        request.body = body
+        call = await self._admit(request, caller)
+        if call is None:
+            return
+        self.budget.request(call.service, now=now)
+        self.metrics.received(call)
+        ended = False
+        try:
+            await self._serve(call, caller)
+            ended = True
+        finally:
+            if not ended:
+                self.log("caller-left", **self._fields(call))
+                self.metrics.ended(call, "left", now=self.clock())
+
+    async def _admit(self, request: InboundRequest, caller: Caller) -> Call | None:
+        """Return the call of a proper request, or answer it."""
+        configuration = self.view.configuration
+        if configuration is None or not self.view.complete:
+            await self._refuse(
+                request.id, caller, 503, "no configuration is known yet", 0.5
+            )
+            return None
+        if len(request.body) > configuration.limits.body_bytes:
+            await self._refuse(request.id, caller, 413, "the body is too long")
+            return None
+        route = configuration.route_for(request.host, request.path)
+        if route is None:
+            self._log_denied(request, configuration, 404)
+            await self._refuse(request.id, caller, 404, "no route has this path")
+            return None
+        organisation: Organisation | None = None
+        if configuration.has_organisations and not route.public:
+            organisation = configuration.organisations_by_key.get(request.key or "")
+            if organisation is None:
+                self._log_denied(request, configuration, 401)
+                await self._refuse(request.id, caller, 401, "the key is not known")
+                return None
+        received = request.received_at
+        return Call(
+            request=request,
+            route=route,
+            organisation=organisation,
+            service=route.service_for(self.rng.random()),
+            configuration_version=configuration.version,
+            target_at=received + route.target_s,
+            deadline=min(request.deadline, received + route.timeout_s),
+        )
+
+    async def _serve(self, call: Call, caller: Caller) -> None:
+        failure: Failed | None = None
+        while True:
+            placement = await self._place(call)
+            if placement is None:
+                await self._give_up(call, caller, failure, "no upstream took it")
+                return
+            name = placement.instance.name
+            self.log(
+                "sent",
+                **self._fields(call),
+                instance=name,
+                weights=placement.weights,
+                expected_s=round(placement.expected_s, 3),
+                missing=placement.missing_tokens,
+                fetch=placement.fetch_from is not None,
+            )
+            try:
+                ending = await self.runner.run(call, placement, caller)
+            finally:
+                self.view.loads.end(name, call.request.id)
+                self.dispatcher.wake()
+            if isinstance(ending, Delivered):
+                self._delivered(call, name)
+                return
+            self._note(call, placement, ending)
+            if isinstance(ending, Failed):
+                failure = ending
+            if not self._may_go_on(call, ending):
+                await self._give_up(call, caller, failure, _reason(ending))
+                return
+
+    async def _place(self, call: Call) -> Placement | None:
+        if not self.dispatcher.placer.exists(call):
+            return None
+        least_s = GENERATION_MIN_S if call.route.generates else PLAIN_MIN_S
+        return await self.dispatcher.place(
+            call, give_up_at=call.deadline - least_s, returning=False
+        )
+
+    def _may_go_on(self, call: Call, ending: Ending) -> bool:
+        """Return whether the call is sent once more, and take it from the budget."""
+        now = self.clock()
+        if now >= call.deadline - 2 * ANSWER_MARGIN_S or not call.may_run_again:
+            return False
+        if isinstance(ending, NotSent):
+            # No upstream saw it, so it costs nothing of the budget.
+            return True
+        return self.budget.take(call.service, now=now)
+
+    def _note(self, call: Call, placement: Placement, ending: Ending) -> None:
+        """Record what an attempt that failed says about its instance."""
+        now = self.clock()
+        name = placement.instance.name
+        load = self.view.loads.of(name)
+        match ending:
+            case NotRun():
+                self._avoid(name, REFUSED_S)
+            case NotSent():
+                self._avoid(name, UNREACHABLE_S)
+            case Lost() | Failed():
+                load.failures += 1
+                call.left_out.add(name)
+                if load.failures >= FAILURES_TO_AVOID:
+                    self._avoid(name, FAILED_S)
+        self.log(
+            "attempt-failed",
+            **self._fields(call),
+            instance=name,
+            ending=type(ending).__name__,
+            reason=_reason(ending),
+            after_s=round(now - call.request.received_at, 3),
+        )
+        self.metrics.attempt_failed(call, type(ending).__name__)
+
+    def _avoid(self, name: str, for_s: float) -> None:
+        load = self.view.loads.of(name)
+        load.avoid_until = max(load.avoid_until, self.clock() + for_s)
+        self.on_avoid(name, for_s)
+
+    async def _give_up(
+        self, call: Call, caller: Caller, failure: Failed | None, reason: str
+    ) -> None:
+        now = self.clock()
+        if call.streaming:
+            self._log_end(call, "broken", reason)
+            caller.abort()
+        elif failure is not None:
+            self._log_end(call, "failed", reason)
+            headers = self.wire.caller_headers(failure.head)
+            await caller.start(
+                failure.head.status, failure.head.reason, headers, failure.body
+            )
+        elif call.runs:
+            late = now >= call.deadline - 2 * ANSWER_MARGIN_S
+            self._log_end(call, "may-have-run", reason)
+            await self._refuse(call.request.id, caller, 504 if late else 502, reason)
+        else:
+            retry_after_s = self._retry_after_s()
+            self._log_end(call, "not-run", reason, retry_after_s=retry_after_s)
+            await self._refuse(call.request.id, caller, 503, reason, retry_after_s)
+
+    def _retry_after_s(self) -> float:
+        # Spread, so that callers refused together do not come back together.
+        return RETRY_AFTER_MIN_S + self.rng.random() * RETRY_AFTER_SPREAD_S
+
+    async def _refuse(
+        self,
+        request_id: str,
+        caller: Caller,
+        status: int,
+        reason: str,
+        retry_after_s: float | None = None,
+    ) -> None:
+        headers = self.wire.refusal_headers(request_id, retry_after_s)
+        run = "not-run" if status in (400, 401, 404, 413, 503) else "may-have-run"
+        body = json.dumps({"status": status, "detail": reason, "run": run}).encode()
+        await caller.start(status, "", headers, body)
+
+    def _delivered(self, call: Call, instance: str) -> None:
+        now = self.clock()
+        self.metrics.ended(call, "delivered", now=now)
+        self.log(
+            "delivered",
+            **self._fields(call),
+            instance=instance,
+            after_s=round(now - call.request.received_at, 3),
+        )
+
+    def _log_end(
+        self, call: Call, outcome: str, reason: str, **fields: object
+    ) -> None:
+        now = self.clock()
+        self.metrics.ended(call, outcome, now=now)
+        self.log(
+            "refused" if outcome == "not-run" else "ended",
+            **self._fields(call),
+            outcome=outcome,
+            reason=reason,
+            runs=call.runs,
+            sends=call.sends,
+            queued=self.dispatcher.queued(call.service),
+            after_s=round(now - call.request.received_at, 3),
+            **fields,
+        )
+
+    def _log_denied(
+        self, request: InboundRequest, configuration: RoutingConfiguration, status: int
+    ) -> None:
+        self.log(
+            "denied",
+            request=request.id,
+            status=status,
+            host=request.host,
+            path=request.path,
+            configuration=configuration.version,
+        )
+
+    def _fields(self, call: Call) -> dict[str, object]:
+        organisation = call.organisation
+        return {
+            "request": call.request.id,
+            "route": call.route.name,
+            "service": call.service,
+            "organisation": organisation.name if organisation else None,
+            "configuration": call.configuration_version,
+        }
+
+
+def _reason(ending: Ending) -> str:
+    match ending:
+        case NotRun(status=status):
+            return f"the upstream answered {status} and did not run it"
+        case NotSent(reason=reason):
+            return reason
+        case Lost(reason=reason):
+            return f"lost after it was sent: {reason}"
+        case Failed(head=head):
+            return f"the upstream answered {head.status}"
+        case Delivered():
+            return ""
+
--- /dev/null
+++ b/src/endivelug/forwarding/front_server.py
@@ -0,0 +1,175 @@
+"""HTTP/1.1 towards callers, on tornado's server connections."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from http.client import responses
+from typing import Any
+
+from tornado.httpserver import HTTPServer
+from tornado.httputil import (
+    HTTPConnection,
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import StreamClosedError
+
+from endivelug.forwarding.upstream_connection import Headers
+
+# Callers may be idle for as long as the configuration says; the kept connections of a
+# VM are bounded by its descriptors, so they are closed only much later.
+IDLE_S = 300.0
+MAX_BODY_BYTES = 16 * 1024 * 1024
+MAX_HEADER_BYTES = 64 * 1024
+
+
+class Caller:
+    """The caller's side of one request.
+
+    Attributes
+    ----------
+    gone : bool
+        Whether the caller closed its connection.
+    """
+
+    def __init__(self, *, connection: HTTPConnection, last: bool) -> None:
+        self.connection = connection
+        self.last = last
+        self.gone = False
+        self.head_sent = False
+
+    async def start(
+        self, status: int, reason: str, headers: Headers, body: bytes | None = None
+    ) -> None:
+        """Send the head, and with ``body`` the whole answer."""
+        fields = HTTPHeaders()
+        for name, value in headers:
+            fields.add(name, value)
+        if self.last:
+            fields["Connection"] = "close"
+        if body is not None:
+            fields["Content-Length"] = str(len(body))
+        self.head_sent = True
+        line = ResponseStartLine("HTTP/1.1", status, reason or _reason(status))
+        await self._send(self.connection.write_headers(line, fields, body or b""))
+        if body is not None:
+            self.connection.finish()
+
+    async def write(self, data: bytes) -> None:
+        """Send a part of the body."""
+        await self._send(self.connection.write(data))
+
+    def finish(self) -> None:
+        """End a complete answer."""
+        if not self.gone:
+            self.connection.finish()
+
+    def abort(self) -> None:
+        """Break the connection, so that the answer does not look complete."""
+        stream: Any = getattr(self.connection, "stream", None)
+        if stream is not None:
+            stream.close()
+
+    async def _send(self, written: Awaitable[None]) -> None:
+        try:
+            await written
+        except StreamClosedError:
+            self.gone = True
+
+
+def _reason(status: int) -> str:
+    return responses.get(status, "Unknown")
+
+
+Handler = Callable[[str, str, Headers, bytes, Caller], Awaitable[None]]
+
+
+class _Request(HTTPMessageDelegate):
+    """Reads one request and runs the handler in a task of its own."""
+
+    def __init__(self, *, server: "FrontServer", connection: HTTPConnection) -> None:
+        self.server = server
+        self.connection = connection
+        self.body = bytearray()
+        self.line: RequestStartLine
+        self.headers: HTTPHeaders
+        self.task: asyncio.Task[None] | None = None
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> Awaitable[None] | None:
+        """Keep the head."""
+        assert isinstance(start_line, RequestStartLine)
+        self.line = start_line
+        self.headers = headers
+        return None
+
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        """Keep a part of the body."""
+        self.body += chunk
+        return None
+
+    def finish(self) -> None:
+        """Handle the complete request."""
+        caller = Caller(connection=self.connection, last=self.server.closing)
+        task = asyncio.get_running_loop().create_task(self._handle(caller))
+        self.server.tasks.add(task)
+        task.add_done_callback(self.server.tasks.discard)
+
+        def left() -> None:
+            caller.gone = True
+            task.cancel()
+
+        self.connection.set_close_callback(left)  # type: ignore[attr-defined]
+
+    async def _handle(self, caller: Caller) -> None:
+        headers = list(self.headers.get_all())
+        await self.server.handler(
+            self.line.method, self.line.path, headers, bytes(self.body), caller
+        )
+
+
+class FrontServer(HTTPServerConnectionDelegate):
+    """Listens for callers.
+
+    Attributes
+    ----------
+    closing : bool
+        Whether each answer asks the caller to close its connection.
+    tasks : set of asyncio.Task
+        Requests in progress.
+    """
+
+    def __init__(self, *, handler: Handler) -> None:
+        self.handler = handler
+        self.closing = False
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.server = HTTPServer(
+            self,  # type: ignore[arg-type]
+            idle_connection_timeout=IDLE_S,
+            body_timeout=IDLE_S,
+            max_header_size=MAX_HEADER_BYTES,
+            max_body_size=MAX_BODY_BYTES,
+            max_buffer_size=MAX_BODY_BYTES + MAX_HEADER_BYTES,
+        )
+
+    def start_request(
+        self, server_conn: object, request_conn: HTTPConnection
+    ) -> HTTPMessageDelegate:
+        """Return the reader of the next request of a connection."""
+        return _Request(server=self, connection=request_conn)
+
+    def on_close(self, server_conn: object) -> None:
+        """Note the end of a connection; requests have callbacks of their own."""
+
+    def listen(self, address: str) -> None:
+        """Listen on an IP address and port."""
+        host, _, port = address.rpartition(":")
+        self.server.listen(int(port), address=host, backlog=1024, reuse_port=False)
+
+    async def close(self) -> None:
+        """Stop listening and close every connection."""
+        self.server.stop()
+        await self.server.close_all_connections()
--- /dev/null
+++ b/src/endivelug/forwarding/node_metrics.py
@@ -0,0 +1,106 @@
+"""Counters and latency histograms of one router, with bounded cardinality."""
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+
+from endivelug.busiest import BusiestOrganisations
+from endivelug.forwarding.calls import Call
+
+LATENCY_BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2.0, 4.0, 8.0, 16.0)
+# Routes beyond this number share one label.
+MAX_ROUTES = 40
+OTHER = "other"
+
+
+class NodeMetrics:
+    """Metrics of requests by route, and of the busiest organisations.
+
+    Parameters
+    ----------
+    busiest : BusiestOrganisations
+        Chooses the organisations that get labels of their own.
+    """
+
+    def __init__(self, *, busiest: BusiestOrganisations) -> None:
+        self.busiest = busiest
+        self.registry = Registry()
+        self.requests = Counter(
+            "endivelug_forward_requests_total",
+            "Requests by route and outcome.",
+            registry=self.registry,
+        )
+        self.attempts_failed = Counter(
+            "endivelug_forward_attempts_failed_total",
+            "Attempts that failed, by service and ending.",
+            registry=self.registry,
+        )
+        self.first_byte_s = Histogram(
+            "endivelug_forward_first_byte_seconds",
+            "Time from a request to the first byte of its answer.",
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.total_s = Histogram(
+            "endivelug_forward_seconds",
+            "Time from a request to the end of its answer.",
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.organisation_s = Histogram(
+            "endivelug_forward_organisation_seconds",
+            "Time from a request to the end of its answer, by organisation.",
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.state = Gauge(
+            "endivelug_forward_state",
+            "Values of the process by name: dependencies, queue, versions.",
+            registry=self.registry,
+        )
+        self.in_progress = 0
+        self._routes: set[str] = set()
+
+    def received(self, call: Call) -> None:
+        """Count a request that was admitted."""
+        self.in_progress += 1
+
+    def started(self, call: Call, *, now: float) -> None:
+        """Observe the first byte of an answer."""
+        labels = {"route": self._route(call)}
+        self.first_byte_s.observe(labels, now - call.request.received_at)
+
+    def ended(self, call: Call, outcome: str, *, now: float) -> None:
+        """Count the end of a request."""
+        self.in_progress -= 1
+        route = self._route(call)
+        seconds = now - call.request.received_at
+        self.requests.inc({"route": route, "outcome": outcome})
+        self.total_s.observe({"route": route}, seconds)
+        if call.organisation is not None:
+            label = self.busiest.label(call.organisation.name)
+            self.organisation_s.observe({"organisation": label}, seconds)
+
+    def attempt_failed(self, call: Call, ending: str) -> None:
+        """Count an attempt that failed."""
+        labels = {"service": call.service, "ending": ending}
+        self.attempts_failed.inc(labels)
+
+    def page(self, values: dict[str, float]) -> bytes:
+        """Return the metrics page.
+
+        Parameters
+        ----------
+        values : dict of str to float
+            Values of the process at this moment.
+        """
+        for name, value in values.items():
+            self.state.set({"name": name}, value)
+        content, _ = render(self.registry, [])
+        return content
+
+    def _route(self, call: Call) -> str:
+        name = call.route.name
+        if name not in self._routes:
+            if len(self._routes) >= MAX_ROUTES:
+                return OTHER
+            self._routes.add(name)
+        return name
--- /dev/null
+++ b/src/endivelug/forwarding/prompt_cache.py
@@ -0,0 +1,94 @@
+"""Estimate of which prompt parts each engine and cache store keeps.
+
+Engines evict the least recently used parts, so the estimate is an LRU list per holder
+with the holder's capacity. A namespace separates weights versions and isolated
+organisations; a part is never looked up under another namespace.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+# Running requests use a part of the memory, so less than all of it caches parts.
+CACHED_SHARE = 0.75
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class PromptPart:
+    """One part of a prompt; requests share leading parts."""
+
+    part: str
+    tokens: int
+
+
+@dataclass(slots=True, kw_only=True)
+class _Holder:
+    capacity_tokens: float
+    parts: OrderedDict[tuple[str, str], int] = field(default_factory=OrderedDict)
+    tokens: int = 0
+
+
+@dataclass(slots=True, kw_only=True)
+class PromptCaches:
+    """Parts by holder, which is an engine's name or a store's address.
+
+    Examples
+    --------
+    >>> caches = PromptCaches()
+    >>> caches.add_holder("e1", capacity_tokens=1000)
+    >>> guide = PromptPart(part="g", tokens=500)
+    >>> own = PromptPart(part="o", tokens=100)
+    >>> caches.note("e1", namespace="v1", parts=[guide, own])
+    >>> caches.held_tokens("e1", namespace="v1", parts=[guide, own])
+    600
+    >>> caches.held_tokens("e1", namespace="v2", parts=[guide, own])
+    0
+    """
+
+    holders: dict[str, _Holder] = field(default_factory=dict)
+
+    def add_holder(self, name: str, *, capacity_tokens: float) -> None:
+        """Add a holder, or change its capacity."""
+        capacity = capacity_tokens * CACHED_SHARE
+        holder = self.holders.get(name)
+        if holder is None:
+            self.holders[name] = _Holder(capacity_tokens=capacity)
+        else:
+            holder.capacity_tokens = capacity
+
+    def clear(self, name: str) -> None:
+        """Forget the parts of a holder that restarted or dropped them."""
+        holder = self.holders.get(name)
+        if holder is not None:
+            holder.parts.clear()
+            holder.tokens = 0
+
+    def remove_holder(self, name: str) -> None:
+        """Forget a holder."""
+        self.holders.pop(name, None)
+
+    def note(self, name: str, *, namespace: str, parts: Iterable[PromptPart]) -> None:
+        """Note that a holder has just used or stored parts."""
+        holder = self.holders.get(name)
+        if holder is None:
+            return
+        for part in parts:
+            key = (namespace, part.part)
+            holder.tokens += part.tokens - holder.parts.pop(key, 0)
+            holder.parts[key] = part.tokens
+        while holder.tokens > holder.capacity_tokens and holder.parts:
+            holder.tokens -= holder.parts.popitem(last=False)[1]
+
+    def held_tokens(
+        self, name: str, *, namespace: str, parts: Iterable[PromptPart]
+    ) -> int:
+        """Return the tokens of the leading parts that a holder keeps."""
+        holder = self.holders.get(name)
+        if holder is None:
+            return 0
+        tokens = 0
+        for part in parts:
+            if (namespace, part.part) not in holder.parts:
+                break
+            tokens += part.tokens
+        return tokens
--- /dev/null
+++ b/src/endivelug/forwarding/state_sync.py
@@ -0,0 +1,86 @@
+"""Follows the platform's tables and keeps the cluster view up to date."""
+
+import asyncio
+import random
+
+from endivelug.exceptions import TableOutcomeUnknown, TableUnavailable
+from endivelug.forwarding.cluster_view import ClusterView, LogLine
+from endivelug.forwarding.row_store import HistoryLost, RowStore
+
+# A connection can fall silent without a reset; the wait bounds how long that lasts.
+FEED_WAIT_S = 2.0
+RETRY_MIN_S = 0.1
+RETRY_MAX_S = 0.8
+EXPIRE_S = 0.25
+
+
+class StateSync:
+    """Feeds of all tables of the view."""
+
+    def __init__(
+        self, *, store: RowStore, view: ClusterView, rng: random.Random, log: LogLine
+    ) -> None:
+        self.store = store
+        self.view = view
+        self.rng = rng
+        self.log = log
+        self.lost: dict[str, float] = {}
+
+    @property
+    def connected(self) -> bool:
+        """Whether every feed answers."""
+        return not self.lost
+
+    async def run(self) -> None:
+        """Follow the tables until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            for table in self.view.records.tables:
+                group.create_task(self._follow(table))
+            group.create_task(self._expire())
+
+    async def _follow(self, table: str) -> None:
+        after: int | None = None
+        delay_s = RETRY_MIN_S
+        while True:
+            try:
+                if after is None:
+                    page = await self.store.read(table)
+                    self._regained(table)
+                    self.view.replace_table(table, page, source="store")
+                else:
+                    page = await self.store.changes(
+                        table, after=after, wait_s=FEED_WAIT_S
+                    )
+                    self._regained(table)
+                    self.view.apply(page.rows, source="store")
+                after = page.version
+                delay_s = RETRY_MIN_S
+            except HistoryLost as error:
+                self.log("feed-history-lost", table=table, reason=str(error))
+                after = None
+            except (TableUnavailable, TableOutcomeUnknown) as error:
+                self._lost(table, error)
+                await asyncio.sleep(delay_s * self.rng.uniform(0.5, 1.0))
+                delay_s = min(RETRY_MAX_S, delay_s * 2)
+
+    async def _expire(self) -> None:
+        while True:
+            await asyncio.sleep(EXPIRE_S)
+            self.view.expire()
+
+    def _lost(self, table: str, error: Exception) -> None:
+        if table not in self.lost:
+            self.lost[table] = self.view.clock()
+            self.view.registry.registry_lost()
+            self.log("dependency-lost", dependency=f"store/{table}", reason=str(error))
+
+    def _regained(self, table: str) -> None:
+        since = self.lost.pop(table, None)
+        if since is None:
+            return
+        now = self.view.clock()
+        if not self.lost:
+            self.view.registry.registry_regained(now=now)
+        self.log(
+            "dependency-regained", dependency=f"store/{table}", after_s=now - since
+        )
--- /dev/null
+++ b/src/endivelug/forwarding/upstream_connection.py
@@ -0,0 +1,342 @@
+"""One kept HTTP/1.1 connection to an upstream.
+
+Answers are parsed by h11. Bytes that belong to no request close the connection, and an
+answer to another request is skipped, so that no caller can get them.
+"""
+
+import asyncio
+import socket
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import cast
+
+import h11
+
+from endivelug.exceptions import UpstreamBroken, UpstreamUnreachable
+
+# Received bytes that wait for a slow reader before the socket is paused.
+MAX_BUFFERED_BYTES = 256 * 1024
+MAX_HEAD_BYTES = 64 * 1024
+# Ends a connection whose peer acknowledges nothing, milliseconds.
+USER_TIMEOUT_MS = 4000
+
+Headers = list[tuple[str, str]]
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class RequestHead:
+    """Start of a request as sent."""
+
+    method: str
+    target: str
+    headers: Headers
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class ResponseHead:
+    """Start of an answer as received; header names are in lower case."""
+
+    status: int
+    reason: str
+    headers: Headers
+
+    def get(self, name: str) -> str | None:
+        """Return the first value of a header, or None."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class BodyData:
+    """A part of the body."""
+
+    data: bytes
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class BodyEnd:
+    """The end of a complete answer."""
+
+
+AnswerEvent = ResponseHead | BodyData | BodyEnd
+
+
+class UpstreamConnection(asyncio.Protocol):
+    """One connection; use ``connect`` to make one.
+
+    Attributes
+    ----------
+    last_byte_at : float
+        Loop time of the last received byte, or of the connection.
+    idle_until : float
+        Loop time after which an idle connection must not be used again.
+    """
+
+    def __init__(self, *, clock: Callable[[], float]) -> None:
+        self.clock = clock
+        self.last_byte_at = clock()
+        self.idle_until = float("inf")
+        self.used = 0
+        self.closed = False
+        self.on_closed: Callable[[], None] | None = None
+        self._transport: asyncio.Transport
+        self._parser: h11.Connection | None = None
+        self._accepts: Callable[[ResponseHead], bool] = lambda head: True
+        self._skipping = False
+        self._method = "GET"
+        self._events: deque[AnswerEvent] = deque()
+        self._buffered = 0
+        self._paused = False
+        self._failure: UpstreamBroken | None = None
+        self._waiter: asyncio.Future[None] | None = None
+        self._keep_alive = True
+        self._got_bytes = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Set options of the new socket."""
+        # uvloop's transports have the methods but not the base class.
+        self._transport = cast(asyncio.Transport, transport)
+        raw = transport.get_extra_info("socket")
+        if raw is not None:
+            raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            try:
+                raw.setsockopt(
+                    socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
+                )
+            except OSError:
+                # Not available everywhere; time limits of the callers still hold.
+                pass
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End the answer in progress."""
+        self.closed = True
+        parser = self._parser
+        if parser is not None and self._failure is None:
+            if exc is None:
+                self._receive(b"")
+            if self._parser is not None:
+                self._fail("the connection was lost before the answer was complete")
+        if self.on_closed is not None:
+            self.on_closed()
+
+    def eof_received(self) -> bool | None:
+        """Close on the peer's end; ``connection_lost`` completes the answer."""
+        return False
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes."""
+        self.last_byte_at = self.clock()
+        if self._parser is None:
+            # Nothing was asked, so these bytes belong to no request.
+            self.abort()
+            return
+        self._got_bytes = True
+        self._receive(data)
+
+    def send(
+        self,
+        head: RequestHead,
+        body: bytes,
+        *,
+        accepts: Callable[[ResponseHead], bool],
+    ) -> None:
+        """Send a request; the answer comes from ``next_event``.
+
+        Parameters
+        ----------
+        accepts : callable
+            Whether an answer belongs to this request; others are skipped.
+
+        Raises
+        ------
+        UpstreamBroken
+            Where the connection is closed; nothing was sent.
+        """
+        if self.closed or self._transport.is_closing():
+            raise UpstreamBroken("the connection is closed; use another one")
+        self._accepts = accepts
+        self._method = head.method
+        self._events.clear()
+        self._buffered = 0
+        self._failure = None
+        self._skipping = False
+        self._got_bytes = False
+        self.used += 1
+        parser = self._new_parser()
+        data = parser.send(
+            h11.Request(method=head.method, target=head.target, headers=head.headers)
+        )
+        assert data is not None
+        tail = parser.send(h11.Data(data=body)) if body else b""
+        end = parser.send(h11.EndOfMessage())
+        self._parser = parser
+        self._transport.write(data + (tail or b"") + (end or b""))
+
+    async def next_event(self) -> AnswerEvent:
+        """Return the next part of the answer.
+
+        Raises
+        ------
+        UpstreamBroken
+            Where the answer is not complete or not HTTP.
+        """
+        while not self._events:
+            if self._failure is not None:
+                raise self._failure
+            self._waiter = asyncio.get_running_loop().create_future()
+            try:
+                await self._waiter
+            finally:
+                self._waiter = None
+        event = self._events.popleft()
+        if isinstance(event, BodyData):
+            self._buffered -= len(event.data)
+            if self._paused and self._buffered < MAX_BUFFERED_BYTES // 2:
+                self._paused = False
+                if not self.closed:
+                    self._transport.resume_reading()
+        return event
+
+    @property
+    def answered(self) -> bool:
+        """Whether any byte came since the request was sent."""
+        return self._got_bytes
+
+    @property
+    def reusable(self) -> bool:
+        """Whether another request may be sent now."""
+        return (
+            not self.closed
+            and not self._transport.is_closing()
+            and self._parser is None
+            and self._keep_alive
+            and self._transport.get_write_buffer_size() == 0
+        )
+
+    def abort(self) -> None:
+        """Close at once; the upstream sees it as soon as the packet arrives."""
+        self.closed = True
+        self._transport.abort()
+
+    def _new_parser(self) -> h11.Connection:
+        return h11.Connection(
+            our_role=h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+
+    def _receive(self, data: bytes) -> None:
+        assert self._parser is not None
+        try:
+            self._parser.receive_data(data)
+            self._parse()
+        except h11.RemoteProtocolError as error:
+            self._fail(f"the answer is not valid HTTP ({error})")
+
+    def _parse(self) -> None:
+        while self._parser is not None:
+            event = self._parser.next_event()
+            if isinstance(event, h11.Response):
+                self._head(event)
+            elif isinstance(event, h11.Data):
+                self._data(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                self._end()
+            elif isinstance(event, h11.InformationalResponse):
+                continue
+            else:
+                return
+
+    def _head(self, event: h11.Response) -> None:
+        head = ResponseHead(
+            status=event.status_code,
+            reason=bytes(event.reason).decode("latin-1"),
+            headers=[
+                (bytes(name).decode("latin-1"), bytes(value).decode("latin-1"))
+                for name, value in event.headers
+            ],
+        )
+        self._skipping = not self._accepts(head)
+        if not self._skipping:
+            self._put(head)
+
+    def _data(self, data: bytes) -> None:
+        if self._skipping or not data:
+            return
+        self._buffered += len(data)
+        self._put(BodyData(data=data))
+        if self._buffered > MAX_BUFFERED_BYTES and not self._paused:
+            self._paused = True
+            self._transport.pause_reading()
+
+    def _end(self) -> None:
+        assert self._parser is not None
+        parser = self._parser
+        trailing, closed = parser.trailing_data
+        if self._skipping:
+            self._continue_after_skipped(trailing, closed)
+            return
+        self._keep_alive = (
+            parser.their_state is h11.DONE
+            and parser.our_state is h11.DONE
+            and not trailing
+        )
+        self._parser = None
+        self._put(BodyEnd())
+        if not self._keep_alive:
+            # Further bytes are no answer to anything that was asked.
+            self._transport.abort()
+
+    def _continue_after_skipped(self, trailing: bytes, closed: bool) -> None:
+        """Parse the next answer on the connection after one of another request."""
+        self._skipping = False
+        parser = self._new_parser()
+        parser.send(
+            h11.Request(method=self._method, target="/", headers=[("host", "skipped")])
+        )
+        parser.send(h11.EndOfMessage())
+        self._parser = parser
+        if trailing:
+            parser.receive_data(trailing)
+        if closed:
+            parser.receive_data(b"")
+
+    def _put(self, event: AnswerEvent) -> None:
+        self._events.append(event)
+        self._wake()
+
+    def _fail(self, reason: str) -> None:
+        self._parser = None
+        self._failure = UpstreamBroken(f"{reason}; use another connection")
+        if not self.closed:
+            self.abort()
+        self._wake()
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+
+async def connect(
+    address: str, *, timeout_s: float, clock: Callable[[], float]
+) -> UpstreamConnection:
+    """Connect to an upstream.
+
+    Raises
+    ------
+    UpstreamUnreachable
+        Where no connection was made in time; nothing was sent.
+    """
+    host, _, port = address.rpartition(":")
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, connection = await loop.create_connection(
+                lambda: UpstreamConnection(clock=clock), host, int(port)
+            )
+    except (OSError, TimeoutError, ValueError) as error:
+        raise UpstreamUnreachable(
+            f"no connection to {address} ({error or 'timeout'}); use another upstream"
+        ) from error
+    return connection
--- a/src/endivelug/lease_keeper.py
+++ b/src/endivelug/lease_keeper.py
@@ -4,10 +4,21 @@
 import random
 import time
 from collections.abc import Callable
+from typing import Protocol
 
 from endivelug.exceptions import TableOutcomeUnknown, TableUnavailable
 from endivelug.leases import Lease, LeaseWrite
-from endivelug.table import Table
+from endivelug.table import Row, Transaction, Verdict
+
+
+class LeaseRows(Protocol):
+    """The part of ``Table`` that a lease needs."""
+
+    async def get(self, key: str) -> Row | None:
+        """Return the row of a key, or None."""
+
+    async def run(self, transaction: Transaction) -> Verdict:
+        """Run a transaction."""
 
 
 def boot_clock() -> float:
@@ -20,7 +31,7 @@
 
     Parameters
     ----------
-    table : Table
+    table : LeaseRows
         The table service.
     lease : Lease
         This VM's view.
@@ -37,7 +48,7 @@
     def __init__(
         self,
         *,
-        table: Table,
+        table: LeaseRows,
         lease: Lease,
         renew_s: float,
         is_candidate: Callable[[], bool] = lambda: True,
--- a/src/endivelug/messages.py
+++ b/src/endivelug/messages.py
@@ -14,6 +14,7 @@
     ConfigSnapshot,
     Contact,
 )
+from endivelug.forwarding.peer_messages import RouterReport, RowsReply, RowsRequest
 from endivelug._share_messages import (
     ShareDemand,
     ShareGrant,
@@ -47,6 +48,9 @@
     "LookupReply",
     "Message",
     "Proof",
+    "RouterReport",
+    "RowsReply",
+    "RowsRequest",
     "ShareDemand",
     "ShareGrant",
     "ShareLoan",
@@ -376,4 +380,7 @@
     | UpstreamReport
     | ListedUpstreams
     | DataCentreStatusRequest
+    | RouterReport
+    | RowsRequest
+    | RowsReply
 )
--- /dev/null
+++ b/src/endivelug/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Names, formats and calls of the users' platform; nothing here decides."""
--- /dev/null
+++ b/src/endivelug/platform/edge.py
@@ -0,0 +1,181 @@
+"""Headers of callers' requests and of upstreams' answers."""
+
+import re
+
+from endivelug.exceptions import EndivelugError
+from endivelug.forwarding.prompt_cache import PromptPart
+from endivelug.forwarding.requests import (
+    AnswerFacts,
+    InboundRequest,
+    SendOptions,
+)
+from endivelug.forwarding.upstream_connection import (
+    Headers,
+    RequestHead,
+    ResponseHead,
+)
+
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+# Set by the router alone; a caller's value is dropped.
+OWN_HEADERS = frozenset(
+    {
+        "x-credential",
+        "x-deadline-ms",
+        "x-expect-instance",
+        "x-expect-version",
+        "x-tenant",
+        "x-cache-salt",
+        "x-kv-fetch",
+        "x-kv-save",
+        "x-kv-backup",
+        "kv-from",
+        "x-hold",
+        "x-pin-ms",
+        "x-request-priority",
+        "last-event-id",
+        "content-length",
+        "expect",
+        "host",
+    }
+)
+MAX_PRIORITY = 9
+_KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d+)", re.IGNORECASE)
+
+
+class BadRequest(EndivelugError):
+    """A header of the request is missing or malformed; correct it."""
+
+
+class HeaderFormat:
+    """The platform's headers under the project's ``WireFormat``."""
+
+    def decode_request(
+        self, *, method: str, target: str, headers: Headers, now: float
+    ) -> InboundRequest:
+        """Decode the head of a caller's request."""
+        values = {name.lower(): value for name, value in headers}
+        request_id = values.get("x-request-id", "")
+        if not request_id:
+            raise BadRequest("the request has no id")
+        dropped = HOP_BY_HOP | OWN_HEADERS | _connection_names(values)
+        request = InboundRequest(
+            id=request_id,
+            method=method,
+            target=target,
+            host=values.get("host", ""),
+            headers=[
+                (name, value) for name, value in headers if name.lower() not in dropped
+            ],
+            key=values.get("x-credential"),
+            received_at=now,
+            deadline=now + _milliseconds(values.get("x-deadline-ms")),
+            model=values.get("x-model"),
+            last_event=values.get("last-event-id"),
+        )
+        _decode_prompt(request, values)
+        return request
+
+    def upstream_head(
+        self, request: InboundRequest, options: SendOptions
+    ) -> RequestHead:
+        """Return the head of one send."""
+        headers = [("Host", request.host), *request.headers]
+        left_ms = max(1, int(options.left_s * 1000))
+        headers.append(("X-Deadline-Ms", str(left_ms)))
+        headers.append(("X-Expect-Instance", options.instance))
+        optional = (
+            ("X-Tenant", options.organisation),
+            ("X-Expect-Version", options.weights),
+            ("X-Cache-Salt", options.cache_namespace),
+            ("X-Kv-Fetch", options.fetch_from),
+            ("X-Kv-Save", options.save_to),
+            ("X-Request-Priority", options.priority),
+            ("Last-Event-Id", options.last_event),
+        )
+        headers += [(name, str(value)) for name, value in optional if value is not None]
+        if request.body or request.method in ("POST", "PUT", "PATCH"):
+            headers.append(("Content-Length", str(len(request.body))))
+        return RequestHead(
+            method=request.method, target=request.target, headers=headers
+        )
+
+    def belongs(self, request: InboundRequest, head: ResponseHead) -> bool:
+        """Return whether an answer names this request.
+
+        A refusal without an id is taken for this request, since nothing ran.
+        """
+        named = head.get("x-request-id")
+        if named is not None:
+            return named == request.id
+        return not 200 <= head.status < 300
+
+    def facts(self, head: ResponseHead) -> AnswerFacts:
+        """Return what the head of an answer says about the run."""
+        weights = head.get("x-weight-versions")
+        idle = _KEEP_ALIVE_TIMEOUT.search(head.get("keep-alive") or "")
+        return AnswerFacts(
+            not_run=head.status == 421 or head.get("x-not-executed") is not None,
+            sealed=head.get("x-response-seal") is not None,
+            weights=int(weights) if weights and weights.isdecimal() else None,
+            idle_s=float(idle[1]) if idle else None,
+            encoded=head.get("content-encoding") is not None,
+        )
+
+    def caller_headers(self, head: ResponseHead) -> Headers:
+        """Return the headers to pass on."""
+        named = _connection_names(dict(head.headers))
+        dropped = HOP_BY_HOP | named | {"content-length"}
+        return [(name, value) for name, value in head.headers if name not in dropped]
+
+    def refusal_headers(self, request_id: str, retry_after_s: float | None) -> Headers:
+        """Return the headers of an answer of the router's own."""
+        headers = [("Content-Type", "application/problem+json")]
+        if request_id:
+            headers.append(("X-Request-Id", request_id))
+        if retry_after_s is not None:
+            headers.append(("Retry-After", f"{retry_after_s:.3f}"))
+        return headers
+
+
+def _connection_names(values: dict[str, str]) -> set[str]:
+    return {
+        name.strip().lower() for name in values.get("connection", "").split(",") if name
+    }
+
+
+def _milliseconds(text: str | None) -> float:
+    if text is None:
+        return float("inf")
+    try:
+        return max(0.0, float(text) / 1000)
+    except ValueError:
+        raise BadRequest("the time limit is not a number") from None
+
+
+def _decode_prompt(request: InboundRequest, values: dict[str, str]) -> None:
+    try:
+        # The first number counts prompt tokens, the second is the most to generate.
+        usage = values.get("x-token-usage")
+        if usage:
+            prompt, _, output = usage.partition(",")
+            request.prompt_tokens = int(prompt)
+            request.output_tokens = int(output or 0)
+        for entry in filter(None, values.get("x-prompt-prefix", "").split(",")):
+            part, _, tokens = entry.strip().partition(":")
+            request.prompt.append(PromptPart(part=part, tokens=int(tokens)))
+    except ValueError:
+        raise BadRequest("the sizes of the prompt are not numbers") from None
+    if not request.prompt_tokens:
+        request.prompt_tokens = sum(part.tokens for part in request.prompt)
--- /dev/null
+++ b/src/endivelug/platform/engine_calls.py
@@ -0,0 +1,112 @@
+"""Calls to an engine beside requests: its report and orders for new weights."""
+
+import json
+from typing import Any
+
+from endivelug.exceptions import UpstreamBroken, UpstreamUnreachable
+from endivelug.forwarding.connection_pool import ConnectionPool, SmallAnswer
+from endivelug.forwarding.instances import Instance
+from endivelug.forwarding.upstream_connection import RequestHead
+from endivelug.forwarding.weights_rollout import EngineReport, OrderReply, WeightsOrder
+
+REPORT_TIMEOUT_S = 0.7
+ORDER_TIMEOUT_S = 1.0
+
+
+class EngineCalls:
+    """Reports and orders of engines."""
+
+    def __init__(self, *, pool: ConnectionPool) -> None:
+        self.pool = pool
+
+    async def report(self, instance: Instance) -> EngineReport:
+        """Return what an engine reports of itself.
+
+        Raises
+        ------
+        UpstreamUnreachable, UpstreamBroken
+            Where it does not answer with a report.
+        """
+        answer = await self._call(instance, "GET", "/report", b"", REPORT_TIMEOUT_S)
+        document = _document(answer)
+        models = document.get("models", [])
+        if answer.head.status != 200 or not isinstance(models, list):
+            raise UpstreamBroken("the engine sent no report; ask again")
+        versions = {
+            str(item.get("name")): item["version"]
+            for item in models
+            if isinstance(item, dict) and type(item.get("version")) is int
+        }
+        # "seq" counts the orders that the engine accepted since its start.
+        orders = document.get("seq")
+        return EngineReport(
+            versions=versions,
+            busy=bool(document.get("busy")),
+            orders=orders if type(orders) is int else 0,
+        )
+
+    async def order_weights(self, instance: Instance, order: WeightsOrder) -> OrderReply:
+        """Order new weights.
+
+        Raises
+        ------
+        UpstreamUnreachable
+            Where the order was not sent.
+        UpstreamBroken
+            Where the answer was lost; the engine may still carry the order out.
+        """
+        body = {
+            "op": "version",
+            "model": order.model,
+            "version": order.version,
+            # Runs in progress finish on the weights on which they began.
+            "swapMode": "queue",
+            "holder": order.holder,
+            "fence": order.fencing,
+            "expected": order.expected_orders,
+        }
+        data = json.dumps(body).encode()
+        answer = await self._call(instance, "POST", "/order", data, ORDER_TIMEOUT_S)
+        match answer.head.status:
+            case 202:
+                return OrderReply.ACCEPTED
+            case 200:
+                return OrderReply.HOLDS
+            case 409:
+                return OrderReply.CONFLICT
+            case 412:
+                return OrderReply.FENCED
+            case _:
+                return OrderReply.REFUSED
+
+    async def _call(
+        self, instance: Instance, method: str, path: str, body: bytes, timeout_s: float
+    ) -> SmallAnswer:
+        headers = [
+            ("Host", instance.address),
+            ("X-Expect-Instance", instance.name),
+        ]
+        if body:
+            headers.append(("Content-Type", "application/json"))
+            headers.append(("Content-Length", str(len(body))))
+        head = RequestHead(method=method, target=path, headers=headers)
+        return await self.pool.call(
+            instance.address,
+            head,
+            body,
+            timeout_s=timeout_s,
+            connect_timeout_s=timeout_s / 2,
+        )
+
+
+def _document(answer: SmallAnswer) -> dict[str, Any]:
+    try:
+        document = json.loads(answer.body)
+    except ValueError as error:
+        raise UpstreamBroken("the engine's answer is not JSON; ask again") from error
+    if not isinstance(document, dict):
+        raise UpstreamBroken("the engine's answer is not an object; ask again")
+    return document
+
+
+__all__ = ["EngineCalls", "UpstreamUnreachable"]
--- /dev/null
+++ b/src/endivelug/platform/records.py
@@ -0,0 +1,240 @@
+"""Rows of the operator and of the upstreams, decoded into the project's types."""
+
+import json
+import re
+from typing import Any
+
+from endivelug.exceptions import EndivelugError
+from endivelug.forwarding.instances import Instance
+from endivelug.forwarding.records import (
+    ConfigurationRecord,
+    InstanceRecord,
+    InstanceRemoved,
+    OtherRecord,
+    Record,
+    UnreadableRecord,
+    WeightsRecord,
+)
+from endivelug.forwarding.routes import (
+    CacheStore,
+    CallerLimits,
+    EngineLimits,
+    Organisation,
+    Repeat,
+    Route,
+    RoutingConfiguration,
+    Service,
+    WeightedService,
+)
+from endivelug.forwarding.row_store import StoredRow
+
+OPERATOR_TABLE = "op"
+INSTANCE_TABLE = "servers"
+CONFIGURATION_KEY = "config"
+WEIGHTS_PREFIX = "version/"
+STATES = ("ready", "draining")
+_ADDRESS = re.compile(r"\d{1,3}(\.\d{1,3}){3}:\d{1,5}")
+
+
+class RecordUnreadable(EndivelugError):
+    """A row is not a record of the platform; the last good one stays in force."""
+
+
+def decode_configuration(value: bytes) -> RoutingConfiguration:
+    """Decode the operator's configuration.
+
+    Raises
+    ------
+    RecordUnreadable
+        Where it is not a configuration.
+    """
+    document = _object(value)
+    try:
+        configuration = RoutingConfiguration(
+            version=int(document["version"]),
+            limits=_limits(document.get("limits", {})),
+            services={},
+        )
+        for item in document["services"]:
+            _add_service(configuration, item)
+        for item in document["routes"]:
+            configuration.add_route(_route(item))
+        _add_organisations(configuration, document.get("tenants"))
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise RecordUnreadable(f"the configuration is malformed: {error!r}") from error
+    return configuration
+
+
+def decode_weights(value: bytes) -> tuple[str, int]:
+    """Decode a model and the version of its weights that the operator wants."""
+    document = _object(value)
+    model, version = document.get("model"), document.get("version")
+    if not isinstance(model, str) or type(version) is not int:
+        raise RecordUnreadable("the wanted weights name no model or version")
+    return model, version
+
+
+def decode_instance(name: str, value: bytes) -> Instance:
+    """Decode an upstream's registration.
+
+    Raises
+    ------
+    RecordUnreadable
+        Where a field is missing or has another type; it names no upstream then.
+    """
+    document = _object(value)
+    service, address = document.get("service"), document.get("address")
+    # "zone" is the data centre; "slots" the requests that run at the same time.
+    data_centre, slots = document.get("zone"), document.get("slots")
+    state, born = document.get("state"), document.get("born", 0)
+    texts = (service, address, data_centre, state)
+    if not all(isinstance(text, str) for text in texts):
+        raise RecordUnreadable("a text of the registration is missing")
+    if type(slots) is not int or slots < 1 or type(born) is not int:
+        raise RecordUnreadable("a number of the registration is missing")
+    if state not in STATES or not _ADDRESS.fullmatch(str(address)):
+        raise RecordUnreadable("the state or the address is not one")
+    return Instance(
+        name=name,
+        service=str(service),
+        address=str(address),
+        data_centre=str(data_centre),
+        slots=slots,
+        draining=state == "draining",
+        started_ms=born,
+        model_versions=_model_versions(document.get("models", [])),
+    )
+
+
+def _model_versions(models: Any) -> tuple[tuple[str, int], ...]:
+    if not isinstance(models, list):
+        raise RecordUnreadable("the models of the registration are not a list")
+    found = []
+    for item in models:
+        if not isinstance(item, dict):
+            raise RecordUnreadable("a model of the registration is not an object")
+        name, version = item.get("name"), item.get("version")
+        if not isinstance(name, str) or type(version) is not int:
+            raise RecordUnreadable("a model of the registration has no version")
+        found.append((name, version))
+    return tuple(found)
+
+
+def _object(value: bytes) -> dict[str, Any]:
+    try:
+        document = json.loads(value)
+    except ValueError as error:
+        raise RecordUnreadable(f"the row is not JSON: {error}") from error
+    if not isinstance(document, dict):
+        raise RecordUnreadable("the row is not an object")
+    return document
+
+
+def _limits(document: dict[str, Any]) -> CallerLimits:
+    return CallerLimits(
+        header_bytes=int(document.get("maxHeaderBytes", 65536)),
+        body_bytes=int(document.get("maxBodyBytes", 4194304)),
+        idle_timeout_s=float(document.get("idleTimeoutMs", 15000)) / 1000,
+    )
+
+
+def _add_service(configuration: RoutingConfiguration, item: dict[str, Any]) -> None:
+    name = str(item["name"])
+    if item.get("kvStoreAddr"):
+        configuration.cache_stores.append(
+            CacheStore(
+                service=name,
+                address=str(item["kvStoreAddr"]),
+                data_centre=str(item.get("zone", "")),
+                link_mbps=float(item.get("linkMbps", 10000.0)),
+            )
+        )
+        return
+    engine = item.get("engine")
+    configuration.services[name] = Service(
+        name=name,
+        max_connections=int(item.get("maxConnections", 64)),
+        engine=_engine_limits(engine) if engine else None,
+    )
+
+
+def _engine_limits(item: dict[str, Any]) -> EngineLimits:
+    return EngineLimits(
+        slots=int(item["slots"]),
+        cache_tokens=int(item["kvCapacityTokens"]),
+        token_bytes=float(item.get("kvTokenBytes", 0)),
+        link_mbps=float(item.get("linkMbps", 10000.0)),
+        models=tuple(str(model["name"]) for model in item.get("models", [])),
+    )
+
+
+def _route(item: dict[str, Any]) -> Route:
+    split = item.get("trafficSplit")
+    if split:
+        services = tuple(
+            WeightedService(service=str(part["service"]), weight=float(part["weight"]))
+            for part in split
+        )
+    else:
+        services = (WeightedService(service=str(item["service"]), weight=1.0),)
+    kind = str(item["kind"])
+    return Route(
+        name=str(item["name"]),
+        host=str(item["host"]),
+        prefix=str(item["prefix"]),
+        repeat=Repeat.SAFE if kind == "safe" else Repeat.UNSAFE,
+        streaming=kind == "streaming",
+        resumable=bool(item.get("resumable", False)),
+        timeout_s=float(item["timeoutMs"]) / 1000,
+        target_s=float(item.get("targetLatencyMs") or item["timeoutMs"]) / 1000,
+        gap_target_s=float(item.get("gapAimMs") or 0) / 1000,
+        max_attempts=int(item.get("maxAttempts", 1)),
+        priority=int(item.get("priority", 5)),
+        public=bool(item.get("public", False)),
+        # "sticky" marks routes whose requests name a model and a prompt.
+        generates=bool(item.get("sticky", False)),
+        services=services,
+    )
+
+
+def _add_organisations(configuration: RoutingConfiguration, tenants: Any) -> None:
+    if not tenants:
+        return
+    configuration.has_organisations = True
+    for item in tenants:
+        priority = item.get("priority")
+        organisation = Organisation(
+            name=str(item["name"]),
+            priority=priority if type(priority) is int else None,
+            isolated=bool(item.get("isolated", False)),
+        )
+        for key in item.get("apiKeys", []):
+            configuration.organisations_by_key[str(key)] = organisation
+
+
+class PlatformRecords:
+    """The platform's rows under the project's ``RecordFormat``."""
+
+    tables = (OPERATOR_TABLE, INSTANCE_TABLE)
+
+    def decode(self, row: StoredRow) -> Record:
+        """Decode a row."""
+        try:
+            return _decode(row)
+        except RecordUnreadable as error:
+            return UnreadableRecord(reason=str(error))
+
+
+def _decode(row: StoredRow) -> Record:
+    if row.table == INSTANCE_TABLE:
+        if row.removed:
+            return InstanceRemoved(name=row.key)
+        return InstanceRecord(instance=decode_instance(row.key, row.value))
+    if row.removed:
+        return OtherRecord()
+    if row.key == CONFIGURATION_KEY:
+        return ConfigurationRecord(configuration=decode_configuration(row.value))
+    if row.key.startswith(WEIGHTS_PREFIX):
+        model, version = decode_weights(row.value)
+        return WeightsRecord(model=model, version=version)
+    return OtherRecord()
