--- a/src/endivelug/forwarding/attempt.py
+++ b/src/endivelug/forwarding/attempt.py
@@ -124,7 +124,7 @@
         caller: Caller,
     ) -> tuple[Ending, AnswerFacts | None]:
         head = await self._head(call, placement, connection)
-        facts = self.wire.facts(head)
+        facts = self.wire.facts(head, instance=placement.instance.name)
         name = placement.instance.name
         self.view.loads.of(name).last_answer_at = self.clock()
         if facts.weights is not None and call.request.model is not None:
@@ -134,7 +134,10 @@
         if facts.not_run:
             call.runs -= 1
             await self._collect(call, connection)
-            return NotRun(status=head.status, reason="refused"), facts
+            return (
+                NotRun(status=head.status, reason="refused", moved=facts.moved),
+                facts,
+            )
         if not 200 <= head.status < 300:
             body = await self._collect(call, connection)
             return Failed(head=head, body=body), facts
@@ -193,7 +196,8 @@
         if silence_s is None:
             return
         heard_at = self.view.loads.of(placement.instance.name).last_answer_at
-        if now - max(heard_at, sent_at) > silence_s:
+        load = self.view.loads.of(placement.instance.name)
+        if load.silent or now - max(heard_at, sent_at) > silence_s:
             raise TimeoutError
 
     async def _collect(self, call: Call, connection: UpstreamConnection) -> bytes:
--- a/src/endivelug/forwarding/calls.py
+++ b/src/endivelug/forwarding/calls.py
@@ -7,6 +7,12 @@
 from endivelug.forwarding.routes import Organisation, Repeat, Route
 from endivelug.forwarding.upstream_connection import ResponseHead
 
+# Callers leave a stream in which nothing comes for the longest of these: seconds,
+# targets of the first event, and longest pauses.
+PATIENCE_S = 2.0
+PATIENCE_TARGETS = 4.0
+PATIENCE_GAPS = 8.0
+
 
 @dataclass(slots=True, kw_only=True)
 class Call:
@@ -44,6 +50,18 @@
             return self.route.resumable
         return self.route.repeat is Repeat.SAFE
 
+    @property
+    def patience_until(self) -> float:
+        """Time at which the caller leaves a stream without a first event."""
+        if not self.route.streaming or self.streaming:
+            return float("inf")
+        patience_s = max(
+            PATIENCE_S,
+            PATIENCE_TARGETS * self.route.target_s,
+            PATIENCE_GAPS * self.route.gap_target_s,
+        )
+        return self.request.received_at + patience_s
+
     @property
     def may_run_again(self) -> bool:
         """Whether another upstream may run it."""
@@ -66,10 +84,17 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class NotRun:
-    """The upstream states that it did not run the request."""
+    """The upstream states that it did not run the request.
+
+    Attributes
+    ----------
+    moved : bool
+        Whether another instance answered at the address.
+    """
 
     status: int
     reason: str
+    moved: bool = False
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/endivelug/forwarding/cluster_view.py
+++ b/src/endivelug/forwarding/cluster_view.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from endivelug.forwarding.engine_load import InstanceLoads
 from endivelug.forwarding.instances import Instance, InstanceRegistry
--- a/src/endivelug/forwarding/dispatcher.py
+++ b/src/endivelug/forwarding/dispatcher.py
@@ -82,6 +82,7 @@
                 returning=returning,
                 target_at=call.target_at,
                 give_up_at=give_up_at,
+                need_s=self.placer.need_s(call),
             )
         )
         self.wake()
--- a/src/endivelug/forwarding/engine_choice.py
+++ b/src/endivelug/forwarding/engine_choice.py
@@ -22,10 +22,16 @@
 # than the time it adds to the request itself.
 REREAD_WEIGHT = 1.0
 # Cost of another data centre, and of weights older than the wanted ones.
-REMOTE_S = 0.01
+REMOTE_S = 0.03
 OLD_WEIGHTS_S = 0.4
 # A backlog longer than this part of the target is left to the queue at the router.
 BACKLOG_SHARE = 0.6
+# A prompt with this much to read is long: it waits at the router behind a short backlog
+# so that short prompts do not wait behind several long ones inside an engine.
+LONG_TOKENS = 2500
+LONG_BACKLOG_S = 0.2
+# Advantage of the home engine, on which all routers agree for a prompt nobody holds.
+HOME_S = 0.08
 # A backlog of this length is always accepted, so that engines never run dry.
 BACKLOG_MIN_S = 0.15
 
@@ -46,6 +52,10 @@
         How many tokens that would bring.
     current : bool
         Whether it has the wanted weights.
+    home : bool
+        Whether routers without knowledge of the prompt agree on this engine.
+    read_elsewhere : bool
+        Whether another engine is reading a part that this one lacks.
     """
 
     name: str
@@ -60,6 +70,8 @@
     fetch_tokens: int
     fetch_s: float
     slowness: float
+    home: bool = False
+    read_elsewhere: bool = False
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -125,10 +137,12 @@
 
 
 def backlog_allows(
-    engine: EngineState, prompt: Prompt, *, rate: ReadingRate
+    engine: EngineState, prompt: Prompt, *, missing: int, rate: ReadingRate
 ) -> bool:
     """Return whether the engine's backlog is short enough for one more request."""
     backlog_s = engine.slowness * engine.backlog_tokens / rate.tokens_per_s
+    if missing >= LONG_TOKENS:
+        return backlog_s <= LONG_BACKLOG_S
     allowed_s = max(BACKLOG_MIN_S, BACKLOG_SHARE * prompt.target_s)
     return backlog_s <= allowed_s
 
@@ -149,13 +163,14 @@
     """
     best: tuple[float, EngineState, float, int] | None = None
     for engine in engines:
-        if not has_room(engine, prompt):
-            continue
-        if not backlog_allows(engine, prompt, rate=rate):
+        if engine.read_elsewhere or not has_room(engine, prompt):
             continue
         wait_s, missing = expected_wait(engine, prompt, rate=rate)
+        if not backlog_allows(engine, prompt, missing=missing, rate=rate):
+            continue
         cost = wait_s + REREAD_WEIGHT * missing / rate.tokens_per_s
         cost += 0.0 if engine.local else REMOTE_S
+        cost -= HOME_S if engine.home else 0.0
         cost += 0.0 if engine.current else OLD_WEIGHTS_S
         if best is None or cost < best[0]:
             best = (cost, engine, wait_s, missing)
--- a/src/endivelug/forwarding/engine_load.py
+++ b/src/endivelug/forwarding/engine_load.py
@@ -14,7 +14,7 @@
 SLOWNESS_MIN = 0.6
 SLOWNESS_MAX = 8.0
 SLOWNESS_WEIGHT = 0.25
-# An old slowness is forgotten, because a slow engine that gets no work gives no samples.
+# An old slowness is forgotten, because an engine without work gives no samples.
 SLOWNESS_LIFETIME_S = 4.0
 
 
@@ -58,8 +58,10 @@
     ----------
     avoid_until : float
         Until then it gets no new work, because it refused or failed.
-    ordered_until : float
-        Until then an order is in progress there.
+    orders : dict of str to float
+        Until when each VM that gave an order has it in progress there.
+    silent : bool
+        Whether it has work and gives no sign; it gets none until it can be reached.
     last_answer_at : float
         Last time at which any byte came from it.
     slowness : float
@@ -69,12 +71,21 @@
     work: dict[str, Work] = field(default_factory=dict)
     peers: dict[str, tuple[float, LoadReport]] = field(default_factory=dict)
     avoid_until: float = 0.0
-    ordered_until: float = 0.0
+    orders: dict[str, float] = field(default_factory=dict)
+    silent: bool = False
     last_answer_at: float = 0.0
     failures: int = 0
     slowness: float = 1.0
     slowness_at: float = 0.0
 
+    def is_ordered(self, *, now: float) -> bool:
+        """Return whether an order is in progress."""
+        return any(until > now for until in self.orders.values())
+
+    def takes_work(self, *, now: float) -> bool:
+        """Return whether new requests may be sent."""
+        return not (self.silent or now < self.avoid_until or self.is_ordered(now=now))
+
     def own_report(self, instance: str) -> LoadReport:
         """Return this VM's work."""
         return LoadReport(
--- a/src/endivelug/forwarding/forwarder.py
+++ b/src/endivelug/forwarding/forwarder.py
@@ -29,6 +29,8 @@
 # An instance that refused is busy for about the time of a short request.
 REFUSED_S = 0.3
 UNREACHABLE_S = 0.6
+# Another instance has the address; the registry tells within some heartbeats.
+MOVED_S = 3.0
 # Failures in a row after which an instance is left for a while.
 FAILURES_TO_AVOID = 3
 FAILED_S = 0.8
@@ -48,6 +50,8 @@
         Whether this VM knows enough to serve requests.
     on_avoid : callable
         Called with the name of an instance that got a reason to be avoided.
+    on_sending, on_ended : callable
+        Called before and after each attempt; without an ending the caller left.
     """
 
     def __init__(
@@ -63,6 +67,8 @@
         rng: random.Random,
         log: LogLine,
         on_avoid: Callable[[str, float], None],
+        on_sending: Callable[[Placement], None],
+        on_ended: Callable[[Call, Placement, Ending | None], None],
     ) -> None:
         self.wire = wire
         self.view = view
@@ -74,6 +80,9 @@
         self.rng = rng
         self.log = log
         self.on_avoid = on_avoid
+        self.on_sending = on_sending
+        self.on_ended = on_ended
+        self.closed = False
 
     async def handle(
         self, method: str, target: str, headers: Headers, body: bytes, caller: Caller
@@ -105,6 +114,9 @@
     async def _admit(self, request: InboundRequest, caller: Caller) -> Call | None:
         """Return the call of a proper request, or answer it."""
         configuration = self.view.configuration
+        if self.closed:
+            await self._refuse(request.id, caller, 503, "this VM is stopping", 0.0)
+            return None
         if configuration is None or not self.view.complete:
             await self._refuse(
                 request.id, caller, 503, "no configuration is known yet", 0.5
@@ -153,10 +165,13 @@
                 missing=placement.missing_tokens,
                 fetch=placement.fetch_from is not None,
             )
+            self.on_sending(placement)
+            ending: Ending | None = None
             try:
                 ending = await self.runner.run(call, placement, caller)
             finally:
                 self.view.loads.end(name, call.request.id)
+                self.on_ended(call, placement, ending)
                 self.dispatcher.wake()
             if isinstance(ending, Delivered):
                 self._delivered(call, name)
@@ -172,9 +187,8 @@
         if not self.dispatcher.placer.exists(call):
             return None
         least_s = GENERATION_MIN_S if call.route.generates else PLAIN_MIN_S
-        return await self.dispatcher.place(
-            call, give_up_at=call.deadline - least_s, returning=False
-        )
+        give_up_at = min(call.deadline, call.patience_until) - least_s
+        return await self.dispatcher.place(call, give_up_at=give_up_at, returning=False)
 
     def _may_go_on(self, call: Call, ending: Ending) -> bool:
         """Return whether the call is sent once more, and take it from the budget."""
@@ -192,8 +206,8 @@
         name = placement.instance.name
         load = self.view.loads.of(name)
         match ending:
-            case NotRun():
-                self._avoid(name, REFUSED_S)
+            case NotRun(moved=moved):
+                self._avoid(name, MOVED_S if moved else REFUSED_S)
             case NotSent():
                 self._avoid(name, UNREACHABLE_S)
             case Lost() | Failed():
@@ -265,9 +279,7 @@
             after_s=round(now - call.request.received_at, 3),
         )
 
-    def _log_end(
-        self, call: Call, outcome: str, reason: str, **fields: object
-    ) -> None:
+    def _log_end(self, call: Call, outcome: str, reason: str, **fields: object) -> None:
         now = self.clock()
         self.metrics.ended(call, outcome, now=now)
         self.log(
@@ -317,4 +329,3 @@
             return f"the upstream answered {head.status}"
         case Delivered():
             return ""
-
--- a/src/endivelug/forwarding/front_server.py
+++ b/src/endivelug/forwarding/front_server.py
@@ -3,8 +3,9 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from http.client import responses
-from typing import Any
+from typing import Any, cast
 
+from tornado.http1connection import HTTP1Connection
 from tornado.httpserver import HTTPServer
 from tornado.httputil import (
     HTTPConnection,
@@ -102,6 +103,7 @@
     ) -> Awaitable[None] | None:
         """Keep the head."""
         assert isinstance(start_line, RequestStartLine)
+        self.server.idle.discard(self)
         self.line = start_line
         self.headers = headers
         return None
@@ -111,6 +113,10 @@
         self.body += chunk
         return None
 
+    def on_connection_close(self) -> None:
+        """Forget a connection that ended without a request."""
+        self.server.idle.discard(self)
+
     def finish(self) -> None:
         """Handle the complete request."""
         caller = Caller(connection=self.connection, last=self.server.closing)
@@ -122,7 +128,7 @@
             caller.gone = True
             task.cancel()
 
-        self.connection.set_close_callback(left)  # type: ignore[attr-defined]
+        cast(HTTP1Connection, self.connection).set_close_callback(left)
 
     async def _handle(self, caller: Caller) -> None:
         headers = list(self.headers.get_all())
@@ -140,14 +146,17 @@
         Whether each answer asks the caller to close its connection.
     tasks : set of asyncio.Task
         Requests in progress.
+    idle : set of _Request
+        Connections that wait for a request.
     """
 
     def __init__(self, *, handler: Handler) -> None:
         self.handler = handler
         self.closing = False
         self.tasks: set[asyncio.Task[None]] = set()
+        self.idle: set[_Request] = set()
         self.server = HTTPServer(
-            self,  # type: ignore[arg-type]
+            self,
             idle_connection_timeout=IDLE_S,
             body_timeout=IDLE_S,
             max_header_size=MAX_HEADER_BYTES,
@@ -159,7 +168,9 @@
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
         """Return the reader of the next request of a connection."""
-        return _Request(server=self, connection=request_conn)
+        request = _Request(server=self, connection=request_conn)
+        self.idle.add(request)
+        return request
 
     def on_close(self, server_conn: object) -> None:
         """Note the end of a connection; requests have callbacks of their own."""
@@ -169,6 +180,16 @@
         host, _, port = address.rpartition(":")
         self.server.listen(int(port), address=host, backlog=1024, reuse_port=False)
 
+    def stop_accepting(self) -> None:
+        """Refuse new connections."""
+        self.server.stop()
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request has begun."""
+        for request in list(self.idle):
+            self.idle.discard(request)
+            cast(HTTP1Connection, request.connection).close()
+
     async def close(self) -> None:
         """Stop listening and close every connection."""
         self.server.stop()
--- a/src/endivelug/forwarding/instances.py
+++ b/src/endivelug/forwarding/instances.py
@@ -111,7 +111,7 @@
 
     def expire(self, *, now: float) -> list[Instance]:
         """Drop the instances whose entry did not come back; return them."""
-        gone = []
+        gone: list[Instance] = []
         if now < self.relisting_until:
             return gone
         for name, entry in list(self.entries.items()):
--- a/src/endivelug/forwarding/node.py
+++ b/src/endivelug/forwarding/node.py
@@ -5,15 +5,19 @@
 import secrets
 import signal
 import time
-from collections.abc import Callable
-from typing import Protocol
+from collections.abc import Callable, Coroutine
+from typing import Any, Protocol
 
 import cbor2
 
 from endivelug.busiest import BusiestOrganisations
-from endivelug.exceptions import TableOutcomeUnknown, TableUnavailable
+from endivelug.exceptions import (
+    TableOutcomeUnknown,
+    TableUnavailable,
+    UpstreamUnreachable,
+)
 from endivelug.forwarding.attempt import AttemptRunner
-from endivelug.forwarding.calls import Call
+from endivelug.forwarding.calls import Call, Delivered, Ending
 from endivelug.forwarding.cluster_view import ClusterView
 from endivelug.forwarding.connection_pool import ConnectionPool
 from endivelug.forwarding.decision_log import DecisionLog
@@ -30,6 +34,7 @@
 from endivelug.forwarding.requests import WireFormat
 from endivelug.forwarding.retry_budget import SharedRetryBudget
 from endivelug.forwarding.row_store import RowStore, RowWrite
+from endivelug.forwarding.silence import is_silent
 from endivelug.forwarding.state_sync import StateSync
 from endivelug.forwarding.upstream_connection import Headers
 from endivelug.lease_keeper import LeaseKeeper, LeaseRows, boot_clock
@@ -40,11 +45,19 @@
 LEASE_S = 1.5
 RENEW_S = 0.5
 CLOCK_BOUND_S = 0.1
-# After a stop is announced, the platform still sends new connections for this long.
-NOTICE_S = 3.0
+# After a stop is announced, the platform still sends new connections for this long: it
+# asks once a second and believes the second answer.
+NOTICE_S = 2.3
 # Kept before the end by force, to close connections and exit.
 EXIT_MARGIN_S = 0.6
 SWEEP_S = 1.0
+# An engine that reads a shared part is waited for this long beyond the expected time.
+READING_MIN_S = 0.5
+SILENCE_CHECK_S = 0.1
+# Peers leave a silent instance for this long at a time.
+SILENT_MARK_S = 1.0
+REACH_S = 0.4
+REACH_TIMEOUT_S = 0.4
 JOIN_RETRY_S = 0.5
 SECRET_KEY = "link-secret"
 VM_PREFIX = "vm/"
@@ -52,20 +65,31 @@
 
 
 class Platform(Protocol):
-    """The adapter to the platform that a node runs on.
+    """The adapter to the platform that a node runs on."""
 
-    Attributes
-    ----------
-    own_table : str
-        Table for the rows of the routers themselves.
-    """
+    @property
+    def wire(self) -> WireFormat:
+        """Headers of callers and upstreams."""
+
+    @property
+    def records(self) -> RecordFormat:
+        """Rows of the platform's tables."""
 
-    wire: WireFormat
-    records: RecordFormat
-    store: RowStore
-    lease_rows: LeaseRows
-    engines: EngineControl
-    own_table: str
+    @property
+    def store(self) -> RowStore:
+        """The platform's store."""
+
+    @property
+    def lease_rows(self) -> LeaseRows:
+        """Rows of leases."""
+
+    @property
+    def engines(self) -> EngineControl:
+        """Reports and orders of engines."""
+
+    @property
+    def own_table(self) -> str:
+        """Table for the rows of the routers themselves."""
 
 
 class Node:
@@ -121,7 +145,8 @@
             vm=settings.vm,
             lease_s=LEASE_S,
             clock_bound_s=CLOCK_BOUND_S,
-            order_timeout_s=settings.lease_s,
+            # Engines that check the fencing number refuse a late order by themselves.
+            order_timeout_s=0.0 if settings.checks_fencing else settings.lease_s,
         )
         self.peers: Peers | None = None
         self.orders = OrderGiver(
@@ -133,6 +158,7 @@
             clock=self.clock,
             lease_clock=boot_clock,
             checks_fencing=settings.checks_fencing,
+            turn_s=settings.lease_s + CLOCK_BOUND_S,
             rng=rng,
             log=log,
         )
@@ -170,6 +196,8 @@
             rng=self.rng,
             log=self.log,
             on_avoid=self._avoided,
+            on_sending=self._sending,
+            on_ended=self._ended,
         )
 
     @property
@@ -193,13 +221,14 @@
             self.orders.run(),
             self.keeper.run(),
             self._sweep(),
+            self._watch_silence(),
         ):
             self._spawn(job)
         await stop.wait()
         await self._stop()
 
-    def _spawn(self, job: object) -> None:
-        task: asyncio.Task[None] = asyncio.ensure_future(job)  # type: ignore[arg-type]
+    def _spawn(self, job: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(job)
         task.add_done_callback(self._job_ended)
         self._tasks.append(task)
 
@@ -243,6 +272,7 @@
         )
         await peers.listen(host=self.settings.ip, port=self.settings.link_port)
         self.peers = peers
+        self.orders.ordered_by_peer_at = peers.ordered_by_peer_at
         await self._dial_all(peers)
         await peers.run()
 
@@ -287,6 +317,51 @@
             self.pool.sweep()
             self._share()
 
+    async def _watch_silence(self) -> None:
+        """Leave instances that give no sign, and return when they can be reached."""
+        probes: dict[str, asyncio.Task[None]] = {}
+        while True:
+            await asyncio.sleep(SILENCE_CHECK_S)
+            now = self.clock()
+            for instance in self.view.registry.all():
+                load = self.view.loads.of(instance.name)
+                engine = bool(instance.model_versions)
+                rate = self.placer.rate_of(instance.service).tokens_per_s
+                if load.silent or not is_silent(
+                    load, now=now, engine=engine, tokens_per_s=rate
+                ):
+                    continue
+                load.silent = True
+                self.pool.drop(instance.address)
+                self.log(
+                    "instance-silent",
+                    instance=instance.name,
+                    work=len(load.work),
+                    quiet_s=round(now - load.last_answer_at, 2),
+                )
+                self._avoided(instance.name, SILENT_MARK_S)
+                probes[instance.name] = asyncio.create_task(self._reach(instance))
+
+    async def _reach(self, instance: Instance) -> None:
+        """Wait until a new connection to a silent instance can be made."""
+        load = self.view.loads.of(instance.name)
+        while self.view.registry.get(instance.name) == instance:
+            await asyncio.sleep(REACH_S * self.rng.uniform(0.7, 1.3))
+            try:
+                connection = await self.pool.acquire(
+                    instance.address, timeout_s=REACH_TIMEOUT_S
+                )
+            except UpstreamUnreachable:
+                self._avoided(instance.name, SILENT_MARK_S)
+                continue
+            self.pool.release(instance.address, connection, idle_s=None)
+            break
+        load.silent = False
+        load.last_answer_at = self.clock()
+        if self.view.registry.get(instance.name) == instance:
+            self.log("instance-reached", instance=instance.name)
+        self.dispatcher.wake()
+
     def _share(self) -> None:
         """Divide what all VMs share by the number of those that live."""
         if self.peers is not None:
@@ -331,10 +406,37 @@
         if placement.namespace is None:
             return
         self._held(name, placement.namespace, call)
-        if placement.save_to is not None:
-            self._held(placement.save_to, placement.namespace, call)
         self.dispatcher.wake()
 
+    def _sending(self, placement: Placement) -> None:
+        """Tell everyone which shared parts an engine begins to read."""
+        if placement.namespace is None or not placement.reads:
+            return
+        name, parts = placement.instance.name, list(placement.reads)
+        reading_s = READING_MIN_S + 2 * placement.expected_s
+        self.view.caches.begin_reading(
+            name,
+            namespace=placement.namespace,
+            parts=parts,
+            until=self.clock() + reading_s,
+        )
+        if self.peers is not None:
+            self.peers.hold(name, placement.namespace, parts, reading_s=reading_s)
+
+    def _ended(self, call: Call, placement: Placement, ending: Ending | None) -> None:
+        """Note what an attempt left in the caches."""
+        if placement.namespace is None:
+            return
+        if isinstance(ending, Delivered) and placement.save_to is not None:
+            # The engine sends the parts to the store once it has read them.
+            self._held(placement.save_to, placement.namespace, call)
+        if isinstance(ending, Delivered) or not placement.reads:
+            return
+        name, parts = placement.instance.name, list(placement.reads)
+        self.view.caches.stop_reading(name, namespace=placement.namespace, parts=parts)
+        if self.peers is not None:
+            self.peers.hold(name, placement.namespace, parts, reading_s=-1.0)
+
     def _held(self, holder: str, namespace: str, call: Call) -> None:
         parts = call.request.prompt
         known = self.view.caches.held_tokens(holder, namespace=namespace, parts=parts)
@@ -379,12 +481,13 @@
         end_at = now + self.settings.grace_s - EXIT_MARGIN_S
         self.stopping = self.orders.stopping = self.front.closing = True
         self.log("stopping", in_progress=len(self.front.tasks))
-        if not self.orders.busy:
-            await self.keeper.resign()
-        notice_until = min(now + NOTICE_S, end_at)
-        while self.clock() < end_at:
-            if self.clock() >= notice_until and not self.front.tasks:
-                break
+        await self.keeper.resign()
+        await asyncio.sleep(NOTICE_S)
+        # The only VM of a data centre gets new connections until it refuses them.
+        self.front.stop_accepting()
+        self.forwarder.closed = True
+        while self.clock() < end_at and self.front.tasks:
+            self.front.close_idle()
             await asyncio.sleep(0.05)
         self.log("stopped", left=len(self.front.tasks))
         await self._close()
--- a/src/endivelug/forwarding/order_giver.py
+++ b/src/endivelug/forwarding/order_giver.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from functools import partial
 from typing import Protocol
 
 from endivelug.exceptions import UpstreamBroken, UpstreamUnreachable
@@ -27,6 +28,7 @@
 MARK_S = 1.0
 # A failed order is tried again after this time.
 RETRY_S = 0.5
+RETRY_MAX_S = 2.0
 
 
 class EngineControl(Protocol):
@@ -35,7 +37,9 @@
     async def report(self, instance: Instance) -> EngineReport:
         """Return what an engine reports."""
 
-    async def order_weights(self, instance: Instance, order: WeightsOrder) -> OrderReply:
+    async def order_weights(
+        self, instance: Instance, order: WeightsOrder
+    ) -> OrderReply:
         """Order new weights."""
 
 
@@ -50,6 +54,8 @@
         Clock of the lease, which also counts while the VM is suspended.
     checks_fencing : bool
         Whether engines refuse an old fencing number.
+    turn_s : float
+        Seconds within which no two VMs may order the same engine.
     """
 
     def __init__(
@@ -63,6 +69,7 @@
         clock: Callable[[], float],
         lease_clock: Callable[[], float],
         checks_fencing: bool,
+        turn_s: float,
         rng: random.Random,
         log: LogLine,
     ) -> None:
@@ -74,12 +81,15 @@
         self.clock = clock
         self.lease_clock = lease_clock
         self.checks_fencing = checks_fencing
+        self.turn_s = turn_s
         self.rng = rng
         self.log = log
         self.tasks: dict[str, asyncio.Task[None]] = {}
         self.failed_until: dict[str, float] = {}
         self.fenced = 0
         self.stopping = False
+        self.ordered_by_peer_at: Callable[[str], float] = lambda name: float("-inf")
+        self._failures: dict[str, int] = {}
         self._held = False
 
     @property
@@ -133,24 +143,27 @@
                 if version is None or instance.draining:
                     continue
                 load = self.view.loads.of(instance.name)
-                waiting = now < self.failed_until.get(instance.name, 0.0)
+                turn_at = self.ordered_by_peer_at(instance.name) + self.turn_s
+                failed = now < self.failed_until.get(instance.name, 0.0)
+                if now < turn_at:
+                    continue
                 engines.append(
                     RolloutEngine(
                         name=instance.name,
                         version=version,
                         requests=load.total(instance.name, now=now).requests,
-                        ordered=instance.name in self.tasks,
-                        silent=waiting,
+                        ordered=instance.name in self.tasks or load.is_ordered(now=now),
+                        silent=load.silent or failed,
                     )
                 )
             for name in next_engines(engines, wanted=wanted.version):
                 task = asyncio.create_task(self._bring(name, model))
                 self.tasks[name] = task
-                task.add_done_callback(lambda _, name=name: self._ended(name))
+                task.add_done_callback(partial(self._ended, name))
 
-    def _ended(self, name: str) -> None:
+    def _ended(self, name: str, task: asyncio.Task[None]) -> None:
         self.tasks.pop(name, None)
-        self.view.loads.of(name).ordered_until = 0.0
+        self.view.loads.of(name).orders.pop(self.holder, None)
         self.announce()
         self.view.on_change()
 
@@ -200,6 +213,7 @@
             self.log("order-answer-lost", reason=str(error), **fields)
             return True
         self.log("order-given", reply=reply.value, **fields)
+        self._failures.pop(instance.name, None)
         match reply:
             case OrderReply.ACCEPTED:
                 return True
@@ -252,9 +266,11 @@
         return wanted is None or (version is not None and version >= wanted.version)
 
     def _mark(self, name: str) -> None:
-        self.view.loads.of(name).ordered_until = self.clock() + MARK_S
+        self.view.loads.of(name).orders[self.holder] = self.clock() + MARK_S
 
     def _failed(self, name: str, reason: str) -> None:
-        delay_s = RETRY_S * self.rng.uniform(1.0, 1.5)
+        failures = self._failures[name] = self._failures.get(name, 0) + 1
+        delay_s = min(RETRY_MAX_S, RETRY_S * 2 ** (failures - 1))
+        delay_s *= self.rng.uniform(1.0, 1.5)
         self.failed_until[name] = self.clock() + delay_s
         self.log("order-failed", instance=name, reason=reason)
--- a/src/endivelug/forwarding/peer_messages.py
+++ b/src/endivelug/forwarding/peer_messages.py
@@ -36,12 +36,20 @@
 
 @dataclass(slots=True, kw_only=True)
 class HeldPart:
-    """A prompt part that a holder has kept since the last message."""
+    """A prompt part that a holder has kept or read since the last message.
+
+    Attributes
+    ----------
+    reading_s : float
+        0 for a part that is kept; else the holder reads it, for at most this long.
+        Negative where it stopped without having read it.
+    """
 
     holder: str
     namespace: str
     part: str
     tokens: int
+    reading_s: float
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/endivelug/forwarding/peers.py
+++ b/src/endivelug/forwarding/peers.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 from endivelug.exceptions import EndivelugError, LinkBusy, LinkClosed
 from endivelug.forwarding.cluster_view import ClusterView, LogLine
@@ -20,7 +21,13 @@
 from endivelug.forwarding.prompt_cache import PromptPart
 from endivelug.forwarding.retry_budget import SharedRetryBudget
 from endivelug.forwarding.row_store import RowPage, StoredRow
-from endivelug.links import Identity, Link, LinkKeeper, LinkServer
+from endivelug.links import (
+    Identity,
+    Link,
+    LinkKeeper,
+    LinkServer,
+    PromptHandlers,
+)
 from endivelug.messages import Failure, Message
 
 REPORT_MIN_S = 0.1
@@ -33,6 +40,12 @@
 ROWS_DELAY_S = 0.25
 ROWS_TIMEOUT_S = 1.0
 MAX_PARTS = 200
+MARK_MAX_S = 5.0
+# A mark is ignored where the instance has just answered this VM: the path of the peer
+# may be what is broken.
+CONTRADICTED_S = 0.5
+# A holder of the lease that is silent for longer may have stopped.
+LEASE_SILENT_S = 0.8
 
 
 @dataclass(slots=True, kw_only=True)
@@ -91,8 +104,12 @@
         self.marks: dict[tuple[str, str], float] = {}
         self.parts: list[HeldPart] = []
         self.weights: dict[tuple[str, str], EngineWeights] = {}
+        self.ordered_by_peers: dict[str, float] = {}
         self.keepers: dict[str, asyncio.Task[None]] = {}
-        self.prompt = {RouterReport: self._heard, RowsRequest: self._rows_for}
+        self.prompt: PromptHandlers = {
+            RouterReport: self._heard,
+            RowsRequest: self._rows_for,
+        }
         self.server = LinkServer(
             identity=identity,
             handler=self._other,
@@ -131,7 +148,10 @@
     def lease_heard(self) -> bool:
         """Return whether a live peer holds the lease of orders."""
         now = self.clock()
-        return any(peer.lease_until > now for peer in self.peers.values())
+        return any(
+            peer.lease_until > now and now - peer.heard_at < LEASE_SILENT_S
+            for peer in self.peers.values()
+        )
 
     def rank(self) -> int:
         """Return the place of this VM among the live ones, by name."""
@@ -142,8 +162,19 @@
         self.marks[instance, kind] = self.clock() + for_s
         self.announce()
 
-    def hold(self, holder: str, namespace: str, parts: list[PromptPart]) -> None:
-        """Tell the peers which parts a holder keeps."""
+    def ordered_by_peer_at(self, instance: str) -> float:
+        """Return when a peer last had an order in progress at an instance."""
+        return self.ordered_by_peers.get(instance, float("-inf"))
+
+    def hold(
+        self,
+        holder: str,
+        namespace: str,
+        parts: list[PromptPart],
+        *,
+        reading_s: float = 0.0,
+    ) -> None:
+        """Tell the peers which parts a holder keeps, reads or stopped reading."""
         for part in parts:
             self.parts.append(
                 HeldPart(
@@ -151,8 +182,11 @@
                     namespace=namespace,
                     part=part.part,
                     tokens=part.tokens,
+                    reading_s=reading_s,
                 )
             )
+        if reading_s:
+            self.announce()
 
     def announce(self) -> None:
         """Send a report without waiting for the next turn."""
@@ -255,11 +289,10 @@
         peer.lease_until = now + report.lease_s if report.lease_s > 0 else 0.0
         self.view.loads.heard(vm, report.work, now=now)
         self.budget.heard(vm, report.retries)
-        self._apply_marks(report, now)
+        self._apply_marks(vm, report, now)
         self._apply_weights(report)
         for part in report.parts:
-            held = PromptPart(part=part.part, tokens=part.tokens)
-            self.view.caches.note(part.holder, namespace=part.namespace, parts=[held])
+            self._apply_part(part, now)
         for table in report.tables:
             if table.version > self.view.highest.get(table.table, 0):
                 peer.behind_since.setdefault(table.table, now)
@@ -267,20 +300,32 @@
                 peer.behind_since.pop(table.table, None)
         self.view.on_change()
 
-    def _apply_marks(self, report: RouterReport, now: float) -> None:
+    def _apply_marks(self, vm: str, report: RouterReport, now: float) -> None:
+        for load in self.view.loads.loads.values():
+            load.orders.pop(vm, None)
         for mark in report.marks:
             load = self.view.loads.of(mark.instance)
-            until = now + min(mark.for_s, 5.0)
+            until = now + min(mark.for_s, MARK_MAX_S)
             if mark.kind == "order":
-                load.ordered_until = max(load.ordered_until, until)
-            else:
+                load.orders[vm] = until
+                self.ordered_by_peers[mark.instance] = now
+            elif now - load.last_answer_at > CONTRADICTED_S:
                 load.avoid_until = max(load.avoid_until, until)
-        ordered = {mark.instance for mark in report.marks if mark.kind == "order"}
-        if report.lease_s > 0:
-            # Only the holder of the lease gives orders, so the others are over.
-            for name, load in self.view.loads.loads.items():
-                if name not in ordered:
-                    load.ordered_until = min(load.ordered_until, now)
+
+    def _apply_part(self, part: HeldPart, now: float) -> None:
+        caches = self.view.caches
+        parts = [PromptPart(part=part.part, tokens=part.tokens)]
+        if part.reading_s > 0:
+            caches.begin_reading(
+                part.holder,
+                namespace=part.namespace,
+                parts=parts,
+                until=now + part.reading_s,
+            )
+        elif part.reading_s < 0:
+            caches.stop_reading(part.holder, namespace=part.namespace, parts=parts)
+        else:
+            caches.note(part.holder, namespace=part.namespace, parts=parts)
 
     def _apply_weights(self, report: RouterReport) -> None:
         for seen in report.weights:
@@ -311,9 +356,10 @@
                     continue
                 self._asking.add(table)
                 task = asyncio.create_task(self._fetch_rows(vm, peer, table))
-                task.add_done_callback(
-                    lambda _, table=table: self._asking.discard(table)
-                )
+                task.add_done_callback(partial(self._asked, table))
+
+    def _asked(self, table: str, task: asyncio.Task[None]) -> None:
+        self._asking.discard(table)
 
     async def _fetch_rows(self, vm: str, peer: Peer, table: str) -> None:
         after = self.view.highest.get(table, 0)
--- a/src/endivelug/forwarding/placing.py
+++ b/src/endivelug/forwarding/placing.py
@@ -3,9 +3,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from endivelug import _rendezvous
 from endivelug.forwarding.calls import Call
 from endivelug.forwarding.cluster_view import ClusterView
 from endivelug.forwarding.engine_choice import (
+    BASE_S,
     Choice,
     EngineState,
     Prompt,
@@ -14,6 +16,7 @@
 )
 from endivelug.forwarding.engine_load import InstanceLoad
 from endivelug.forwarding.instances import Instance
+from endivelug.forwarding.prompt_cache import PromptPart
 from endivelug.forwarding.routes import EngineLimits, Service
 from endivelug.forwarding.upstream_choice import UpstreamState, choose_upstream
 
@@ -25,6 +28,9 @@
 # Prompts of this size are looked up in the store even where it is not known to hold
 # them: a miss costs a millisecond.
 ALWAYS_FETCH_TOKENS = 1000
+# Shared parts below this size are read faster than they are copied.
+SAVE_TOKENS = 1000
+LONG_PART_TOKENS = 1000
 # A transfer goes through two links; set-up takes about this long.
 FETCH_SETUP_S = 0.01
 
@@ -37,6 +43,8 @@
     ----------
     weights : int or None
         Version of the weights that it has.
+    reads : tuple of PromptPart
+        Shared parts that the engine has to read.
     fetch_from : str or None
         Address of the holder of further leading parts of the prompt.
     """
@@ -45,6 +53,7 @@
     expected_s: float = 0.0
     missing_tokens: int = 0
     memory_tokens: int = 0
+    reads: tuple[PromptPart, ...] = ()
     weights: int | None = None
     namespace: str | None = None
     fetch_from: str | None = None
@@ -112,7 +121,7 @@
         found = []
         for instance in self.view.registry.of_service(service.name):
             load = self.view.loads.of(instance.name)
-            if now < load.avoid_until or now < load.ordered_until:
+            if not load.takes_work(now=now):
                 continue
             if len(load.work) >= connections or instance.name in call.left_out:
                 continue
@@ -147,6 +156,7 @@
         request = call.request
         assert request.model is not None
         wanted = self.view.weights.get(request.model)
+        home = self._home(call, candidates)
         states: list[EngineState] = []
         details: dict[str, tuple[Instance, int, str, _Source]] = {}
         for instance, load in candidates:
@@ -162,6 +172,8 @@
             source = self._source(call, instance, namespace, limits)
             total = load.total(instance.name, now=now)
             details[instance.name] = (instance, version, namespace, source)
+            held = self._held(instance.name, namespace, request.prompt)
+            covered = max(held, source.tokens)
             states.append(
                 EngineState(
                     name=instance.name,
@@ -172,12 +184,14 @@
                     memory_tokens=total.memory_tokens,
                     slots=limits.slots,
                     cache_tokens=limits.cache_tokens,
-                    held_tokens=self.view.caches.held_tokens(
-                        instance.name, namespace=namespace, parts=request.prompt
-                    ),
+                    held_tokens=held,
                     fetch_tokens=source.tokens,
                     fetch_s=source.seconds,
                     slowness=load.current_slowness(now=now),
+                    home=instance.name == home,
+                    read_elsewhere=self._read_elsewhere(
+                        instance.name, namespace, request.prompt, covered
+                    ),
                 )
             )
         prompt = Prompt(
@@ -199,8 +213,12 @@
     ) -> Placement:
         instance, version, namespace, source = details
         request = call.request
+        covered = max(
+            self._held(instance.name, namespace, request.prompt), source.tokens
+        )
         return Placement(
             instance=instance,
+            reads=tuple(_missing_shared(request.prompt, covered)),
             expected_s=choice.expected_s,
             missing_tokens=choice.missing_tokens,
             memory_tokens=request.prompt_tokens + request.output_tokens,
@@ -222,12 +240,60 @@
         store = self.view.cache_store()
         if store is None or self.clock() < self.stores_avoided.get(store.address, 0.0):
             return None
+        # The last part belongs to one request or session; keeping it is not worth the
+        # room that shared parts need.
+        shared = call.request.prompt[:-1]
+        if sum(part.tokens for part in shared) < SAVE_TOKENS:
+            return None
         held = self.view.caches.held_tokens(
-            store.address, namespace=namespace, parts=call.request.prompt
+            store.address, namespace=namespace, parts=shared
         )
-        total = sum(part.tokens for part in call.request.prompt)
+        total = sum(part.tokens for part in shared)
         return None if held >= total else store.address
 
+    def _held(self, name: str, namespace: str, parts: list[PromptPart]) -> int:
+        """Return the leading tokens that an engine holds or is reading."""
+        caches, now, tokens = self.view.caches, self.clock(), 0
+        for part in parts:
+            held = caches.held_tokens(name, namespace=namespace, parts=[part])
+            reader = caches.reader_of(namespace=namespace, part=part.part, now=now)
+            if not held and reader != name:
+                break
+            tokens += part.tokens
+        return tokens
+
+    def _read_elsewhere(
+        self, name: str, namespace: str, parts: list[PromptPart], covered: int
+    ) -> bool:
+        """Return whether another engine reads a shared part that this one lacks."""
+        now = self.clock()
+        for part in _missing_shared(parts, covered):
+            if part.tokens < LONG_PART_TOKENS:
+                continue
+            reader = self.view.caches.reader_of(
+                namespace=namespace, part=part.part, now=now
+            )
+            if reader is not None and reader != name:
+                return True
+        return False
+
+    def _home(
+        self, call: Call, candidates: list[tuple[Instance, InstanceLoad]]
+    ) -> str | None:
+        """Return the engine on which routers agree for a long shared prompt."""
+        parts = call.request.prompt
+        if not parts or parts[0].tokens < LONG_PART_TOKENS or not candidates:
+            return None
+        names = [instance.name for instance, _ in candidates]
+        return _rendezvous.owner(f"prompt:{parts[0].part}", names)
+
+    def need_s(self, call: Call) -> float:
+        """Return the expected time to the first byte on an idle instance."""
+        if not call.route.generates:
+            return 0.0
+        tokens = call.request.prompt[-1].tokens if call.request.prompt else 0
+        return BASE_S + tokens / self.rate_of(call.service).tokens_per_s
+
     def _source(
         self, call: Call, instance: Instance, namespace: str, limits: EngineLimits
     ) -> _Source:
@@ -259,7 +325,8 @@
         for other in self.view.registry.of_service(instance.service):
             if other.name == instance.name:
                 continue
-            if now < self.view.loads.of(other.name).avoid_until:
+            load = self.view.loads.of(other.name)
+            if load.silent or now < load.avoid_until:
                 continue
             best = self._better(
                 best,
@@ -300,3 +367,13 @@
         if tokens == best.tokens and seconds < best.seconds:
             return source
         return best
+
+
+def _missing_shared(parts: list[PromptPart], covered: int) -> list[PromptPart]:
+    """Return the shared parts beyond the leading tokens that are covered."""
+    missing, tokens = [], 0
+    for part in parts[:-1]:
+        tokens += part.tokens
+        if tokens > covered:
+            missing.append(part)
+    return missing
--- a/src/endivelug/forwarding/prompt_cache.py
+++ b/src/endivelug/forwarding/prompt_cache.py
@@ -28,10 +28,19 @@
     tokens: int = 0
 
 
+@dataclass(slots=True, kw_only=True)
+class _Reader:
+    holder: str
+    until: float
+
+
 @dataclass(slots=True, kw_only=True)
 class PromptCaches:
     """Parts by holder, which is an engine's name or a store's address.
 
+    A part that an engine is reading is not held yet, but requests that share it may
+    follow the first one to that engine, and need not be read by another one.
+
     Examples
     --------
     >>> caches = PromptCaches()
@@ -46,6 +55,7 @@
     """
 
     holders: dict[str, _Holder] = field(default_factory=dict)
+    readers: dict[tuple[str, str], _Reader] = field(default_factory=dict)
 
     def add_holder(self, name: str, *, capacity_tokens: float) -> None:
         """Add a holder, or change its capacity."""
@@ -76,9 +86,37 @@
             key = (namespace, part.part)
             holder.tokens += part.tokens - holder.parts.pop(key, 0)
             holder.parts[key] = part.tokens
+            self.readers.pop(key, None)
         while holder.tokens > holder.capacity_tokens and holder.parts:
             holder.tokens -= holder.parts.popitem(last=False)[1]
 
+    def begin_reading(
+        self, name: str, *, namespace: str, parts: Iterable[PromptPart], until: float
+    ) -> None:
+        """Note that an engine reads parts; it is done before ``until`` or failed."""
+        for part in parts:
+            key = (namespace, part.part)
+            self.readers[key] = _Reader(holder=name, until=until)
+
+    def stop_reading(
+        self, name: str, *, namespace: str, parts: Iterable[PromptPart]
+    ) -> None:
+        """Note that an engine did not read parts after all."""
+        for part in parts:
+            reader = self.readers.get((namespace, part.part))
+            if reader is not None and reader.holder == name:
+                del self.readers[namespace, part.part]
+
+    def reader_of(self, *, namespace: str, part: str, now: float) -> str | None:
+        """Return the engine that is reading a part, or None."""
+        reader = self.readers.get((namespace, part))
+        if reader is None:
+            return None
+        if reader.until < now:
+            del self.readers[namespace, part]
+            return None
+        return reader.holder
+
     def held_tokens(
         self, name: str, *, namespace: str, parts: Iterable[PromptPart]
     ) -> int:
--- a/src/endivelug/forwarding/records.py
+++ b/src/endivelug/forwarding/records.py
@@ -60,15 +60,11 @@
 
 
 class RecordFormat(Protocol):
-    """Names and formats of the platform's tables.
+    """Names and formats of the platform's tables."""
 
-    Attributes
-    ----------
-    tables : tuple of str
-        Tables to follow.
-    """
-
-    tables: tuple[str, ...]
+    @property
+    def tables(self) -> tuple[str, ...]:
+        """Tables to follow."""
 
     def decode(self, row: StoredRow) -> Record:
         """Decode a row."""
--- a/src/endivelug/forwarding/requests.py
+++ b/src/endivelug/forwarding/requests.py
@@ -94,13 +94,15 @@
         Version of the weights of the run.
     idle_s : float or None
         Idle timeout of the connection as stated.
+    moved : bool
+        Whether another instance answered.
     """
 
     not_run: bool
     sealed: bool
     weights: int | None
     idle_s: float | None
-    encoded: bool
+    moved: bool = False
 
 
 class WireFormat(Protocol):
@@ -119,8 +121,8 @@
     def belongs(self, request: InboundRequest, head: ResponseHead) -> bool:
         """Return whether an answer is one to this request."""
 
-    def facts(self, head: ResponseHead) -> AnswerFacts:
-        """Return what the head of an answer says about the run."""
+    def facts(self, head: ResponseHead, *, instance: str) -> AnswerFacts:
+        """Return what the head of an answer of an instance says about the run."""
 
     def caller_headers(self, head: ResponseHead) -> Headers:
         """Return the headers to pass on to the caller."""
--- a/src/endivelug/forwarding/retry_budget.py
+++ b/src/endivelug/forwarding/retry_budget.py
@@ -100,9 +100,7 @@
         that are silent keep their equal share of the slack.
         """
         own = self._of(service).requests.total(now=now)
-        reports = [
-            peer[service] for peer in self.peers.values() if service in peer
-        ]
+        reports = [peer[service] for peer in self.peers.values() if service in peer]
         requests = own + sum(report.requests for report in reports)
         total = SAFETY * (self.ratio * requests + self.slack)
         vms = max(1, self.vms)
--- a/src/endivelug/forwarding/waiting.py
+++ b/src/endivelug/forwarding/waiting.py
@@ -18,6 +18,8 @@
     ----------
     returning : bool
         Whether the caller was refused before and came back as asked.
+    need_s : float
+        Expected time to the first byte once it is sent.
     target_at, give_up_at : float
         Target of the first byte, and the time after which sending is useless.
     """
@@ -28,10 +30,11 @@
     returning: bool
     target_at: float
     give_up_at: float
+    need_s: float = 0.0
 
     def rank(self, *, now: float) -> tuple[int, bool, bool, float]:
         """Return the sort key; smaller goes first."""
-        late = self.target_at <= now
+        late = self.target_at - self.need_s <= now
         return (self.priority, late, not self.returning, self.target_at)
 
 
--- a/src/endivelug/forwarding/weights_rollout.py
+++ b/src/endivelug/forwarding/weights_rollout.py
@@ -84,11 +84,16 @@
     ['b', 'd']
     """
     limit = max(1, int(AT_ONCE_SHARE * len(engines)))
-    under_order = sum(1 for engine in engines if engine.ordered)
+    # An engine that is silent carries nothing either.
+    under_order = sum(1 for engine in engines if engine.ordered or engine.silent)
     waiting = [
         engine
         for engine in engines
         if engine.version < wanted and not engine.ordered and not engine.silent
     ]
     waiting.sort(key=lambda engine: (engine.requests, engine.name))
-    return [engine.name for engine in waiting[: max(0, limit - under_order)]]
+    free = limit - under_order
+    if not any(engine.ordered for engine in engines):
+        # The rollout goes on also where many engines are silent.
+        free = max(1, free)
+    return [engine.name for engine in waiting[: max(0, free)]]
--- a/src/endivelug/messages.py
+++ b/src/endivelug/messages.py
@@ -14,13 +14,13 @@
     ConfigSnapshot,
     Contact,
 )
-from endivelug.forwarding.peer_messages import RouterReport, RowsReply, RowsRequest
 from endivelug._share_messages import (
     ShareDemand,
     ShareGrant,
     ShareLoan,
     ShareRequest,
 )
+from endivelug.forwarding.peer_messages import RouterReport, RowsReply, RowsRequest
 
 PROTOCOL_VERSION = 1
 
--- a/src/endivelug/platform/edge.py
+++ b/src/endivelug/platform/edge.py
@@ -121,8 +121,9 @@
             return named == request.id
         return not 200 <= head.status < 300
 
-    def facts(self, head: ResponseHead) -> AnswerFacts:
-        """Return what the head of an answer says about the run."""
+    def facts(self, head: ResponseHead, *, instance: str) -> AnswerFacts:
+        """Return what the head of an answer of an instance says about the run."""
+        named = head.get("x-instance-id")
         weights = head.get("x-weight-versions")
         idle = _KEEP_ALIVE_TIMEOUT.search(head.get("keep-alive") or "")
         return AnswerFacts(
@@ -130,7 +131,7 @@
             sealed=head.get("x-response-seal") is not None,
             weights=int(weights) if weights and weights.isdecimal() else None,
             idle_s=float(idle[1]) if idle else None,
-            encoded=head.get("content-encoding") is not None,
+            moved=head.status == 421 and named not in (None, instance),
         )
 
     def caller_headers(self, head: ResponseHead) -> Headers:
--- a/src/endivelug/platform/engine_calls.py
+++ b/src/endivelug/platform/engine_calls.py
@@ -45,7 +45,9 @@
             orders=orders if type(orders) is int else 0,
         )
 
-    async def order_weights(self, instance: Instance, order: WeightsOrder) -> OrderReply:
+    async def order_weights(
+        self, instance: Instance, order: WeightsOrder
+    ) -> OrderReply:
         """Order new weights.
 
         Raises
--- a/src/endivelug/platform/settings.py
+++ b/src/endivelug/platform/settings.py
@@ -22,36 +22,40 @@
         value = self._value(section, key)
         if isinstance(value, str) and value:
             return value
-        return self._wrong(section, key, value, "write a text", "")
+        self._wrong(section, key, value, "write a text")
+        return ""
 
     def number(self, section: str, key: str, scale: float = 1.0) -> float:
         value = self._value(section, key)
-        if type(value) in (int, float) and value >= 0:
+        if isinstance(value, int | float) and type(value) is not bool and value >= 0:
             return float(value) * scale
-        return self._wrong(section, key, value, "write a number", 0.0)
+        self._wrong(section, key, value, "write a number")
+        return 0.0
 
     def flag(self, section: str, key: str) -> bool:
         value = self._value(section, key)
         if isinstance(value, bool):
             return value
-        return self._wrong(section, key, value, "write true or false", False)
+        self._wrong(section, key, value, "write true or false")
+        return False
 
     def first_port(self) -> int:
         value = self._value("", "internalPorts")
         if isinstance(value, list) and value and type(value[0]) is int:
-            return value[0]
-        return self._wrong("", "internalPorts", value, "write two ports", 0)
+            port: int = value[0]
+            return port
+        self._wrong("", "internalPorts", value, "write two ports")
+        return 0
 
     def _value(self, section: str, key: str) -> Any:
         place = self.document.get(section, {}) if section else self.document
         return place.get(key) if isinstance(place, dict) else None
 
-    def _wrong(self, section: str, key: str, value: Any, remedy: str, none: Any) -> Any:
+    def _wrong(self, section: str, key: str, value: Any, remedy: str) -> None:
         shown = None if value is None else str(value)
         self.errors.append(
             SettingError(section=section or "top", key=key, value=shown, remedy=remedy)
         )
-        return none
 
 
 def load_node_settings(path: str) -> NodeSettings:
--- a/src/endivelug/platform/store.py
+++ b/src/endivelug/platform/store.py
@@ -126,7 +126,9 @@
         except UpstreamUnreachable as error:
             raise TableUnavailable(f"the store is unreachable: {error}") from error
         except UpstreamBroken as error:
-            raise TableOutcomeUnknown(f"the store's answer was lost: {error}") from error
+            raise TableOutcomeUnknown(
+                f"the store's answer was lost: {error}"
+            ) from error
         status = answer.head.status
         if status in NOT_DONE:
             raise TableUnavailable(f"the store answered {status}; retry later")
--- /dev/null
+++ b/tests/test_platform_boundary.py
@@ -0,0 +1,48 @@
+import ast
+import re
+from pathlib import Path
+
+PACKAGE = Path(__file__).parent.parent / "src" / "endivelug"
+ADAPTER = PACKAGE / "platform"
+OUTSIDE = [path for path in PACKAGE.rglob("*.py") if ADAPTER not in path.parents]
+# Names of the platform's headers, calls, fields and tables.
+NAMES = re.compile(
+    r"X-(Expect-Instance|Expect-Version|Cache-Salt|Kv-\w+|Credential|Prompt-Prefix|"
+    r"Token-Usage|Deadline-Ms|Response-Seal|Not-Executed|Weight-Versions|Tenant)"
+    r"|rows-(tx|get|feed|parts)|blob-(put|get|drop|list)|kv-(events|list|move)"
+    r"|coldRemainingMs|trafficSplit|targetLatencyMs|kvStoreAddr|kvCapacityTokens"
+    r"|retryBudgetRatio|listenAddrs|internalPorts|ENDIVELUG_NODE_FILE",
+    re.IGNORECASE,
+)
+
+
+# Guards against the platform's names outside the adapter.
+def test_only_the_adapter_knows_the_platforms_names():
+    found = [
+        f"{path.name}: {match[0]}"
+        for path in OUTSIDE
+        for match in NAMES.finditer(path.read_text())
+    ]
+    assert found == []
+
+
+# Guards against product code that depends on the adapter.
+def test_nothing_outside_imports_the_adapter():
+    for path in OUTSIDE:
+        for node in ast.walk(ast.parse(path.read_text())):
+            match node:
+                case ast.ImportFrom(module=str(module)):
+                    assert not module.startswith("endivelug.platform"), path
+                case ast.Import(names=names):
+                    for name in names:
+                        assert not name.name.startswith("endivelug.platform"), path
+
+
+# Guards against decisions in the adapter: it knows no clock, chance or waiting.
+def test_the_adapter_decides_nothing():
+    for path in ADAPTER.glob("*.py"):
+        if path.name == "__main__.py":
+            continue
+        text = path.read_text()
+        for word in ("import random", "import time", "asyncio.sleep", "create_task"):
+            assert word not in text, (path.name, word)
--- /dev/null
+++ b/tests/test_platform_records.py
@@ -0,0 +1,107 @@
+import json
+
+import pytest
+
+from endivelug.forwarding.records import (
+    ConfigurationRecord,
+    InstanceRecord,
+    UnreadableRecord,
+    WeightsRecord,
+)
+from endivelug.forwarding.routes import Repeat
+from endivelug.platform.records import (
+    PlatformRecords,
+    RecordUnreadable,
+    decode_configuration,
+    decode_instance,
+)
+from forwarding_builders import (
+    configuration_document,
+    registration_document,
+    stored_row,
+)
+
+
+def configuration(**changes):
+    return decode_configuration(json.dumps(configuration_document(**changes)).encode())
+
+
+# Guards against a shorter prefix that takes the requests of a longer one.
+def test_the_longest_prefix_of_the_host_is_chosen():
+    found = configuration()
+    assert found.route_for("h.example", "/a/orders/1").name == "r-order"
+    assert found.route_for("H.Example:80", "/a/1").name == "r-review"
+    assert found.route_for("other.example", "/a/1") is None
+    assert found.route_for("h.example", "/b") is None
+
+
+# Guards against a route that is repeated although its kind forbids it.
+@pytest.mark.parametrize(
+    ("path", "repeat", "streaming"),
+    [
+        ("/a/1", Repeat.UNSAFE, True),
+        ("/a/orders/1", Repeat.UNSAFE, False),
+        ("/look/1", Repeat.SAFE, False),
+    ],
+)
+def test_the_kind_decides_what_may_be_repeated(path, repeat, streaming):
+    route = configuration().route_for("h.example", path)
+    assert (route.repeat, route.streaming) == (repeat, streaming)
+
+
+# Guards against a key that stands for the wrong organisation, or for any.
+def test_keys_name_their_organisation():
+    found = configuration()
+    assert found.organisations_by_key["k1"].isolated
+    assert found.organisations_by_key["k2"].priority is None
+    assert "k3" not in found.organisations_by_key
+    assert not configuration(tenants=[]).has_organisations
+
+
+# Guards against registrations of other writers that name an upstream to use.
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"address": None},
+        {"address": "10.0.0.1"},
+        {"address": 7},
+        {"slots": "64"},
+        {"slots": True},
+        {"slots": 0},
+        {"state": "starting"},
+        {"service": ["engines"]},
+        {"zone": None},
+        {"born": "1000"},
+        {"born": 1.5},
+        {"models": {"m": 1}},
+        {"models": [{"name": "m", "version": "1"}]},
+    ],
+)
+def test_a_registration_with_a_wrong_field_is_refused(changes):
+    value = json.dumps(registration_document(**changes)).encode()
+    with pytest.raises(RecordUnreadable):
+        decode_instance("e1", value)
+
+
+# Guards against bytes that end the feed's task.
+@pytest.mark.parametrize("value", [b"", b"\xff\xfe", b"[]", b"null", b"{"])
+@pytest.mark.parametrize(
+    ("table", "key"), [("op", "config"), ("op", "version/m"), ("servers", "e1")]
+)
+def test_unreadable_rows_are_values(table, key, value):
+    decoded = PlatformRecords().decode(stored_row(table, key, value, 3))
+    assert isinstance(decoded, UnreadableRecord)
+
+
+# Guards against rows that are decoded as another kind.
+def test_rows_are_decoded_by_table_and_key():
+    records = PlatformRecords()
+    row = stored_row("op", "config", configuration_document(), 1)
+    assert isinstance(records.decode(row), ConfigurationRecord)
+    row = stored_row("op", "version/m", {"model": "m", "version": 3}, 2)
+    assert records.decode(row) == WeightsRecord(model="m", version=3)
+    row = stored_row("servers", "e1", registration_document(state="draining"), 2)
+    decoded = records.decode(row)
+    assert isinstance(decoded, InstanceRecord)
+    assert decoded.instance.draining
+    assert decoded.instance.incarnation == ("e1", 1000)
