--- a/src/endivelug/forwarding/cluster_view.py
+++ b/src/endivelug/forwarding/cluster_view.py
@@ -27,10 +27,19 @@
 
 @dataclass(slots=True, kw_only=True)
 class WantedWeights:
-    """Weights that the operator wants, and since when this VM knows."""
+    """Weights that the operator wants.
+
+    Attributes
+    ----------
+    known_at : float
+        Since when they are known, at the latest.
+    live : bool
+        Whether this VM or a peer saw the change itself; otherwise it may be old.
+    """
 
     version: int
     known_at: float
+    live: bool
 
 
 class ClusterView:
@@ -46,6 +55,8 @@
         Writes one line of a change of state.
     on_change : callable
         Called after a change that may let waiting requests go on.
+    unknown_age_s : float
+        Age that wanted weights are taken to have where nobody saw the change.
     """
 
     def __init__(
@@ -55,6 +66,7 @@
         clock: Callable[[], float],
         log: LogLine,
         on_change: Callable[[], None] = lambda: None,
+        unknown_age_s: float = 0.0,
     ) -> None:
         self.records = records
         self.clock = clock
@@ -70,6 +82,7 @@
         self.rows: dict[tuple[str, str], StoredRow] = {}
         self.highest: dict[str, int] = dict.fromkeys(records.tables, 0)
         self.read_tables: set[str] = set()
+        self.unknown_age_s = unknown_age_s
 
     @property
     def complete(self) -> bool:
@@ -144,6 +157,16 @@
         )
         self.on_change()
 
+    def heard_weights(self, model: str, version: int, *, age_s: float) -> None:
+        """Take in from a peer that saw the change how old wanted weights are."""
+        wanted = self.weights.get(model)
+        if wanted is None or wanted.version != version:
+            return
+        known_at = self.clock() - age_s
+        if not wanted.live or known_at < wanted.known_at:
+            wanted.known_at = known_at
+            wanted.live = True
+
     def cache_store(self) -> CacheStore | None:
         """Return the store of kept KV cache, or None."""
         stores = self.configuration.cache_stores if self.configuration else []
@@ -195,7 +218,11 @@
         known = self.weights.get(model)
         if known is not None and known.version >= version:
             return
-        self.weights[model] = WantedWeights(version=version, known_at=self.clock())
+        live = row.table in self.read_tables
+        age_s = 0.0 if live else self.unknown_age_s
+        self.weights[model] = WantedWeights(
+            version=version, known_at=self.clock() - age_s, live=live
+        )
         self.log(
             "weights-wanted",
             model=model,
--- a/src/endivelug/forwarding/node.py
+++ b/src/endivelug/forwarding/node.py
@@ -29,7 +29,7 @@
 from endivelug.forwarding.node_settings import NodeSettings
 from endivelug.forwarding.order_giver import EngineControl, OrderGiver
 from endivelug.forwarding.peers import Peers
-from endivelug.forwarding.placing import Placement, Placer
+from endivelug.forwarding.placing import OLD_WEIGHTS_MARGIN_S, Placement, Placer
 from endivelug.forwarding.records import RecordFormat
 from endivelug.forwarding.requests import WireFormat
 from endivelug.forwarding.retry_budget import SharedRetryBudget
@@ -50,6 +50,8 @@
 NOTICE_S = 2.3
 # Kept before the end by force, to close connections and exit.
 EXIT_MARGIN_S = 0.6
+# Links to the peers are up and orders are given within this time after a start.
+START_S = 3.0
 SWEEP_S = 1.0
 # An engine that reads a shared part is waited for this long beyond the expected time.
 READING_MIN_S = 0.5
@@ -123,6 +125,10 @@
         self.view = ClusterView(
             records=self.platform.records, clock=self.clock, log=log
         )
+        # Old weights are still allowed within the time that a VM needs after its start.
+        self.view.unknown_age_s = max(
+            0.0, settings.weights_limit_s - OLD_WEIGHTS_MARGIN_S - START_S
+        )
         self.view.on_gone = self._instance_gone
         self.budget = SharedRetryBudget(
             ratio=settings.retry_ratio,
--- a/src/endivelug/forwarding/peer_messages.py
+++ b/src/endivelug/forwarding/peer_messages.py
@@ -34,6 +34,15 @@
     version: int
 
 
+@dataclass(slots=True, kw_only=True)
+class WantedAge:
+    """How long ago wanted weights were named, where the sender saw the change."""
+
+    model: str
+    version: int
+    age_s: float
+
+
 @dataclass(slots=True, kw_only=True)
 class HeldPart:
     """A prompt part that a holder has kept or read since the last message.
@@ -78,6 +87,7 @@
     marks: list[InstanceMark]
     weights: list[EngineWeights]
     parts: list[HeldPart]
+    wanted: list[WantedAge]
 
 
 @dataclass(slots=True, kw_only=True)
@@ -124,4 +134,5 @@
     HeldPart,
     TableVersion,
     TableRow,
+    WantedAge,
 )
--- a/src/endivelug/forwarding/peers.py
+++ b/src/endivelug/forwarding/peers.py
@@ -17,6 +17,7 @@
     RowsRequest,
     TableRow,
     TableVersion,
+    WantedAge,
 )
 from endivelug.forwarding.prompt_cache import PromptPart
 from endivelug.forwarding.retry_budget import SharedRetryBudget
@@ -40,6 +41,8 @@
 ROWS_DELAY_S = 0.25
 ROWS_TIMEOUT_S = 1.0
 MAX_PARTS = 200
+# Weights that were named longer ago count as old everywhere.
+AGE_TOLD_S = 60
 MARK_MAX_S = 5.0
 # A mark is ignored where the instance has just answered this VM: the path of the peer
 # may be what is broken.
@@ -242,6 +245,12 @@
             marks=marks,
             weights=list(self.weights.values()),
             parts=parts,
+            wanted=[
+                # Whole seconds, so that the report does not change all the time.
+                WantedAge(model=model, version=item.version, age_s=float(age_s))
+                for model, item in self.view.weights.items()
+                if item.live and (age_s := int(now - item.known_at)) < AGE_TOLD_S
+            ],
         )
 
     def _broadcast(self, report: RouterReport) -> None:
@@ -293,6 +302,8 @@
         self._apply_weights(report)
         for part in report.parts:
             self._apply_part(part, now)
+        for item in report.wanted:
+            self.view.heard_weights(item.model, item.version, age_s=item.age_s)
         for table in report.tables:
             if table.version > self.view.highest.get(table.table, 0):
                 peer.behind_since.setdefault(table.table, now)
