Trust the newest instance at an address; keep long and short prompts apart

The entry that started last at an address counts. Short streams at engines that read long prompts without a pause take over four seconds for 45 tokens; the time that reading imposes on running requests counts against the placement of a long prompt.

--- a/src/endivelug/forwarding/decision_log.py
+++ b/src/endivelug/forwarding/decision_log.py
@@ -106,7 +106,7 @@
         try:
             loop = asyncio.get_running_loop()
         except RuntimeError:
-            self.flush()
+            # Without a loop, before the start and after the end, callers flush.
             return
         self._scheduled = True
         loop.call_later(FLUSH_S, self.flush)
--- a/src/endivelug/forwarding/engine_choice.py
+++ b/src/endivelug/forwarding/engine_choice.py
@@ -30,6 +30,9 @@
 # so that short prompts do not wait behind several long ones inside an engine.
 LONG_TOKENS = 2500
 LONG_BACKLOG_S = 0.2
+# Reading delays every running request of an engine by its time; a part of that counts
+# against placing a long prompt there, so that long and short ones keep apart.
+IMPOSED_WEIGHT = 0.15
 # Advantage of the home engine, on which all routers agree for a prompt nobody holds.
 HOME_S = 0.08
 # A backlog of this length is always accepted, so that engines never run dry.
@@ -169,6 +172,7 @@
         if not backlog_allows(engine, prompt, missing=missing, rate=rate):
             continue
         cost = wait_s + REREAD_WEIGHT * missing / rate.tokens_per_s
+        cost += IMPOSED_WEIGHT * engine.requests * missing / rate.tokens_per_s
         cost += 0.0 if engine.local else REMOTE_S
         cost -= HOME_S if engine.home else 0.0
         cost += 0.0 if engine.current else OLD_WEIGHTS_S
--- a/src/endivelug/forwarding/instances.py
+++ b/src/endivelug/forwarding/instances.py
@@ -128,12 +128,27 @@
 
     def of_service(self, service: str) -> list[Instance]:
         """Return the instances of a service that may get new requests."""
+        newest = self._newest_by_address()
         return [
-            entry.instance
-            for entry in self.entries.values()
-            if entry.instance.service == service and not entry.instance.draining
+            instance
+            for instance in newest.values()
+            if instance.service == service and not instance.draining
         ]
 
+    def _newest_by_address(self) -> dict[str, Instance]:
+        """Return the instance that started last at each address.
+
+        The entry of an instance that crashed lapses only after some heartbeats; what
+        started at its address meanwhile shows that it is gone.
+        """
+        newest: dict[str, Instance] = {}
+        for entry in self.entries.values():
+            instance = entry.instance
+            known = newest.get(instance.address)
+            if known is None or known.started_ms < instance.started_ms:
+                newest[instance.address] = instance
+        return newest
+
     def all(self) -> list[Instance]:
-        """Return every known instance."""
-        return [entry.instance for entry in self.entries.values()]
+        """Return every known instance, draining ones included."""
+        return list(self._newest_by_address().values())
--- a/src/endivelug/forwarding/node.py
+++ b/src/endivelug/forwarding/node.py
@@ -286,7 +286,7 @@
         """Return the secret of the links, made by the first VM."""
         store, table = self.platform.store, self.platform.own_table
         while True:
-            page = await store.read(table, first=SECRET_KEY, last=SECRET_KEY + "\0")
+            page = await store.read(table, first=SECRET_KEY, last=SECRET_KEY + "!")
             for row in page.rows:
                 return row.value
             write = RowWrite(
--- a/src/endivelug/platform/lease_table.py
+++ b/src/endivelug/platform/lease_table.py
@@ -20,7 +20,7 @@
 
     async def get(self, key: str) -> Row | None:
         """Return a row, or None."""
-        page = await self.store.read(OWN_TABLE, first=key, last=key + "\0")
+        page = await self.store.read(OWN_TABLE, first=key, last=key + "!")
         for row in page.rows:
             if row.key == key:
                 return self._remember(row)
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -58,7 +58,7 @@
         for (name, key), (value, version, removed) in self.rows.items():
             if name != table or key < start or (end and key >= end):
                 continue
-            if after is None and removed or after is not None and version <= after:
+            if (after is None and removed) or (after is not None and version <= after):
                 continue
             row = {"table": table, "part": "", "key": key, "ver": version}
             row["value"] = base64.b64encode(value).decode()
--- /dev/null
+++ b/tests/test_cluster_view.py
@@ -0,0 +1,87 @@
+from endivelug.forwarding.row_store import RowPage
+from forwarding_builders import (
+    LogRecorder,
+    ManualClock,
+    configuration_document,
+    make_view,
+    registration_document,
+    stored_row,
+)
+
+WEIGHTS = {"model": "m", "version": 2}
+
+
+def apply(view, *rows):
+    view.apply(list(rows), source="store")
+
+
+# Guards against a configuration that goes back, whoever offers the older one.
+def test_an_older_row_is_never_applied():
+    view = make_view(ManualClock())
+    apply(view, stored_row("op", "config", configuration_document(version=9), 8))
+    apply(view, stored_row("op", "config", configuration_document(version=7), 5))
+    assert view.configuration.version == 9
+
+
+# Guards against an unreadable row that takes the last good one out of force.
+def test_an_unreadable_row_is_logged_and_changes_nothing():
+    log = LogRecorder()
+    view = make_view(ManualClock(), log)
+    apply(view, stored_row("op", "config", b"{", 8))
+    apply(view, stored_row("servers", "e1", b"\xff", 9))
+    assert view.configuration.version == 7
+    assert view.registry.get("e1") is not None
+    assert log.events().count("row-unreadable") == 2
+
+
+# Guards against rows that a full read no longer has, after lost history.
+def test_a_full_read_removes_what_it_lacks():
+    view = make_view(ManualClock())
+    row = stored_row("servers", "e2", registration_document(), 12)
+    view.replace_table("servers", RowPage(rows=[row], version=12), source="store")
+    assert [item.name for item in view.registry.all()] == ["e2"]
+
+
+# Guards against requests on old weights for the whole limit after a restart: a VM that
+# did not see the change does not know how old it is.
+def test_weights_that_nobody_saw_named_count_as_old():
+    clock = ManualClock(100.0)
+    view = make_view(clock)
+    view.unknown_age_s = 7.0
+    view.read_tables.discard("op")
+    apply(view, stored_row("op", "version/m", WEIGHTS, 20))
+    assert view.weights["m"].known_at == 93.0
+    view.heard_weights("m", 2, age_s=1.0)
+    assert view.weights["m"].known_at == 99.0
+    view.heard_weights("m", 2, age_s=4.0)
+    assert view.weights["m"].known_at == 96.0
+
+
+# Guards against a limit that starts late because this VM was cut off from the store.
+def test_weights_that_were_seen_named_have_their_age():
+    clock = ManualClock(100.0)
+    view = make_view(clock)
+    view.unknown_age_s = 7.0
+    apply(view, stored_row("op", "version/m", WEIGHTS, 20))
+    assert view.weights["m"].known_at == 100.0
+
+
+# Guards against cached parts that are relied on after an engine took new weights.
+def test_new_weights_empty_the_cache_of_an_engine():
+    view = make_view(ManualClock())
+    instance = view.registry.get("e1")
+    caches = view.caches
+    parts = [type("P", (), {"part": "g", "tokens": 10})()]
+    caches.note("e1", namespace="m/1/", parts=parts)
+    assert caches.held_tokens("e1", namespace="m/1/", parts=parts) == 10
+    view.observe_weights(instance, "m", 2)
+    assert caches.held_tokens("e1", namespace="m/1/", parts=parts) == 0
+    assert view.weights_of(instance, "m") == 2
+
+
+# Guards against weights of an earlier start of the same engine.
+def test_a_new_start_forgets_what_was_observed():
+    view = make_view(ManualClock())
+    view.observe_weights(view.registry.get("e1"), "m", 5)
+    apply(view, stored_row("servers", "e1", registration_document(born=2000), 30))
+    assert view.weights_of(view.registry.get("e1"), "m") == 1
--- a/tests/test_engine_choice.py
+++ b/tests/test_engine_choice.py
@@ -1,10 +1,9 @@
-from forwarding_builders import make_engine_state, make_prompt
-
 from endivelug.forwarding.engine_choice import (
     LONG_BACKLOG_S,
     ReadingRate,
     choose_engine,
 )
+from forwarding_builders import make_engine_state, make_prompt
 
 RATE = ReadingRate(tokens_per_s=36_700.0)
 
--- a/tests/test_forwarding_path.py
+++ b/tests/test_forwarding_path.py
@@ -7,6 +7,10 @@
 import time
 
 import pytest
+
+from endivelug.forwarding.node import Node
+from endivelug.forwarding.node_settings import NodeSettings
+from endivelug.platform.__main__ import make_platform
 from forwarding_builders import (
     LogRecorder,
     configuration_document,
@@ -14,10 +18,6 @@
 )
 from platform_standins import call, running_store, running_upstream
 
-from endivelug.forwarding.node import Node
-from endivelug.forwarding.node_settings import NodeSettings
-from endivelug.platform.__main__ import make_platform
-
 KEY = {"X-Credential": "k1"}
 PROMPT = {"X-Model": "m", "X-Token-Usage": "60,5", "X-Prompt-Prefix": "aa:40,bb:20"}
 
--- a/tests/test_instances.py
+++ b/tests/test_instances.py
@@ -1,7 +1,7 @@
 import pytest
-from forwarding_builders import make_instance
 
 from endivelug.forwarding.instances import RELIST_S, InstanceRegistry
+from forwarding_builders import make_instance
 
 
 def registry_with(*instances):
@@ -13,7 +13,9 @@
 
 # Guards against new work for an upstream that announced its stop.
 def test_a_draining_instance_gets_no_new_requests():
-    registry = registry_with(make_instance("a"), make_instance("b", draining=True))
+    registry = registry_with(
+        make_instance("a"), make_instance("b", draining=True, address="127.0.0.1:2")
+    )
     assert [item.name for item in registry.of_service("engines")] == ["a"]
 
 
@@ -37,7 +39,9 @@
 
 # Guards against losing every engine when leases lapse while the store is down.
 def test_removals_after_an_outage_wait_until_the_instance_may_be_back():
-    registry = registry_with(make_instance("a"), make_instance("b"))
+    registry = registry_with(
+        make_instance("a"), make_instance("b", address="127.0.0.1:2")
+    )
     registry.registry_lost()
     registry.registry_regained(now=10.0)
     assert registry.remove("a", row_version=11, now=10.1) is None
@@ -55,3 +59,13 @@
     registry = registry_with(make_instance("a", draining=draining))
     assert registry.remove("a", row_version=2, now=0.0) is not None
     assert registry.all() == []
+
+
+# Guards against requests to an instance that crashed: another one started at its
+# address, and each send was answered "misdirected".
+def test_what_started_last_at_an_address_replaces_what_was_there():
+    old = make_instance("old", started_ms=1000)
+    new = make_instance("new", started_ms=2000)
+    registry = registry_with(new, old)
+    assert [item.name for item in registry.of_service("engines")] == ["new"]
+    assert [item.name for item in registry.all()] == ["new"]
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,142 @@
+import asyncio
+import contextlib
+import random
+import time
+
+from endivelug.forwarding.cluster_view import ClusterView
+from endivelug.forwarding.peers import Peers
+from endivelug.forwarding.prompt_cache import PromptPart
+from endivelug.forwarding.retry_budget import SharedRetryBudget
+from endivelug.links import Identity
+from endivelug.platform.records import PlatformRecords
+from forwarding_builders import (
+    LogRecorder,
+    configuration_document,
+    registration_document,
+    stored_row,
+)
+from test_forwarding_path import free_port, until
+
+
+def make_peers(vm, secret=b"s"):
+    log = LogRecorder()
+    view = ClusterView(records=PlatformRecords(), clock=time.monotonic, log=log)
+    budget = SharedRetryBudget(ratio=0.2, slack=10.0, window_s=10.0)
+    return Peers(
+        identity=Identity(
+            vm=vm, data_centre="dc1", role="router", incarnation=1, secret=secret
+        ),
+        view=view,
+        budget=budget,
+        lease_left_s=lambda: 0.0,
+        ordered=lambda: [],
+        clock=time.monotonic,
+        rng=random.Random(1),
+        log=log,
+    )
+
+
+@contextlib.asynccontextmanager
+async def two_routers(second_secret=b"s"):
+    one, two = make_peers("vm1"), make_peers("vm2", second_secret)
+    port = free_port()
+    await one.listen(host="127.0.0.1", port=port)
+    two.dial("vm1", f"127.0.0.1:{port}")
+    jobs = [asyncio.create_task(one.run()), asyncio.create_task(two.run())]
+    try:
+        yield one, two
+    finally:
+        for job in jobs:
+            job.cancel()
+        await asyncio.gather(*jobs, return_exceptions=True)
+        await two.close()
+        await one.close()
+
+
+def play(use, **options):
+    async def run():
+        async with asyncio.timeout(10), two_routers(**options) as (one, two):
+            await use(one, two)
+
+    asyncio.run(run())
+
+
+def fill(view, version):
+    document = configuration_document(version=version)
+    view.apply(
+        [
+            stored_row("op", "config", document, version),
+            stored_row("servers", "e1", registration_document(), version + 1),
+        ],
+        source="store",
+    )
+    view.read_tables.update(("op", "servers"))
+
+
+# Guards against keys that stay valid on a VM which the store turns away: it learns
+# changes from its peers.
+def test_a_vm_that_the_store_refuses_learns_rows_from_a_peer():
+    async def use(one, two):
+        await until(lambda: one.peers and two.peers)
+        fill(one.view, 7)
+        await until(lambda: two.view.complete)
+        tenants = [{"name": "org2", "apiKeys": ["k2"]}]
+        document = configuration_document(version=12, tenants=tenants)
+        one.view.apply([stored_row("op", "config", document, 40)], source="store")
+        await until(lambda: two.view.configuration.version == 12, limit_s=1.5)
+        assert "k1" not in two.view.configuration.organisations_by_key
+
+    play(use)
+
+
+# Guards against a peer with older rows that puts them back.
+def test_a_peer_with_older_rows_changes_nothing():
+    async def use(one, two):
+        await until(lambda: one.peers and two.peers)
+        fill(one.view, 7)
+        fill(two.view, 30)
+        await until(lambda: one.view.configuration.version == 30)
+        assert two.view.configuration.version == 30
+
+    play(use)
+
+
+# Guards against routers that keep sending to an instance that one of them left.
+def test_marks_and_cached_parts_reach_the_peers():
+    async def use(one, two):
+        await until(lambda: one.peers and two.peers)
+        fill(one.view, 7)
+        await until(lambda: two.view.complete)
+        one.mark("e1", "avoid", 2.0)
+        part = PromptPart(part="g", tokens=900)
+        one.hold("e1", "m/1/", [part])
+        load = two.view.loads.of("e1")
+        await until(lambda: load.avoid_until > time.monotonic())
+        held = two.view.caches.held_tokens
+        await until(lambda: held("e1", namespace="m/1/", parts=[part]) == 900)
+
+    play(use)
+
+
+# Guards against a broken path of one VM that takes an engine away from all.
+def test_a_mark_is_ignored_where_the_instance_has_just_answered():
+    async def use(one, two):
+        await until(lambda: one.peers and two.peers)
+        load = two.view.loads.of("e1")
+        load.last_answer_at = time.monotonic() + 5.0
+        one.mark("e1", "avoid", 2.0)
+        one.mark("e2", "avoid", 2.0)
+        await until(lambda: two.view.loads.of("e2").avoid_until > 0)
+        assert load.avoid_until == 0.0
+
+    play(use)
+
+
+# Guards against reports of a process that does not know the secret.
+def test_a_peer_without_the_secret_is_not_heard():
+    async def use(one, two):
+        await asyncio.sleep(0.5)
+        assert one.peers == {}
+        assert one.server.rejected > 0
+
+    play(use, second_secret=b"other")
--- /dev/null
+++ b/tests/test_platform_store.py
@@ -0,0 +1,131 @@
+import asyncio
+import time
+
+import pytest
+
+from endivelug.exceptions import TableOutcomeUnknown, TableUnavailable
+from endivelug.forwarding.connection_pool import ConnectionPool
+from endivelug.forwarding.row_store import HistoryLost, RowWrite
+from endivelug.leases import Lease
+from endivelug.platform.lease_table import OWN_TABLE, LeaseTable
+from endivelug.platform.store import PlatformStore
+from platform_standins import running_store
+
+
+def with_store(use):
+    async def run():
+        pool = ConnectionPool(clock=time.monotonic)
+        async with running_store() as standin, asyncio.timeout(10):
+            store = PlatformStore(address=standin.address, pool=pool, timeout_s=0.3)
+            await use(store, standin)
+        pool.close()
+
+    asyncio.run(run())
+
+
+# Guards against changes that are lost between the first read and the feed.
+def test_the_feed_goes_on_where_the_read_ended():
+    async def use(store, standin):
+        standin.put("t", "a", {"n": 1})
+        page = await store.read("t")
+        assert [row.key for row in page.rows] == ["a"]
+        standin.put("t", "b", {"n": 2})
+        standin.remove("t", "a")
+        changed = await store.changes("t", after=page.version, wait_s=1.0)
+        assert [(row.key, row.removed) for row in changed.rows] == [
+            ("b", False),
+            ("a", True),
+        ]
+
+    with_store(use)
+
+
+# Guards against a feed that misses changes after the store dropped its history.
+def test_lost_history_is_told():
+    async def use(store, standin):
+        standin.put("t", "a", {})
+        standin.drop_history()
+        with pytest.raises(HistoryLost):
+            await store.changes("t", after=0, wait_s=0.1)
+
+    with_store(use)
+
+
+# Guards against a refusal that is taken for a change that may have been made.
+@pytest.mark.parametrize("status", [429, 503])
+def test_a_refusal_means_that_nothing_was_done(status):
+    async def use(store, standin):
+        standin.fail_with = status
+        write = RowWrite(table="t", key="a", value=b"1", expected_version=0)
+        with pytest.raises(TableUnavailable):
+            await store.write([write])
+        with pytest.raises(TableUnavailable):
+            await store.read("t")
+
+    with_store(use)
+
+
+# Guards against a lost answer that is taken for a refusal.
+def test_a_lost_answer_leaves_the_outcome_unknown():
+    async def use(store, standin):
+        standin.lose_answers = True
+        write = RowWrite(table="t", key="a", value=b"1", expected_version=0)
+        with pytest.raises(TableOutcomeUnknown):
+            await store.write([write])
+        assert ("t", "a") in standin.rows
+
+    with_store(use)
+
+
+# Guards against a store that is down and holds a caller for ever.
+def test_an_unreachable_store_is_unavailable():
+    async def run():
+        pool = ConnectionPool(clock=time.monotonic)
+        store = PlatformStore(address="127.0.0.1:1", pool=pool, timeout_s=0.2)
+        with pytest.raises(TableUnavailable):
+            await store.read("t")
+
+    asyncio.run(run())
+
+
+def make_lease(vm):
+    return Lease(
+        data_centre="all", vm=vm, lease_s=1.0, clock_bound_s=0.1, order_timeout_s=0.0
+    )
+
+
+# Guards against two VMs that hold the lease of orders at the same time.
+def test_only_one_of_two_candidates_gets_the_lease():
+    async def use(store, standin):
+        first, second = make_lease("vm1"), make_lease("vm2")
+        tables = LeaseTable(store=store), LeaseTable(store=store)
+        for lease, table in zip((first, second), tables, strict=True):
+            lease.observe(await table.get(lease.key), 0.0)
+        writes = [lease.next_write(0.0, nonce=b"n") for lease in (first, second)]
+        for lease, table, write in zip((first, second), tables, writes, strict=True):
+            lease.settle(write, await table.run(write.transaction), 0.0)
+        assert first.may_order(0.1)
+        assert not second.may_order(0.1)
+        assert (OWN_TABLE, first.key) in standin.rows
+
+    with_store(use)
+
+
+# Guards against a holder that goes on after another VM wrote the row.
+def test_a_renewal_fails_after_another_holder():
+    async def use(store, standin):
+        first, second = make_lease("vm1"), make_lease("vm2")
+        one, two = LeaseTable(store=store), LeaseTable(store=store)
+        first.observe(await one.get(first.key), 0.0)
+        write = first.next_write(0.0, nonce=b"a")
+        first.settle(write, await one.run(write.transaction), 0.0)
+        second.observe(await two.get(second.key), 0.0)
+        assert second.next_write(0.5, nonce=b"b") is None
+        write = second.next_write(1.2, nonce=b"b")
+        second.settle(write, await two.run(write.transaction), 1.2)
+        assert second.fencing == 2
+        late = first.next_write(0.9, nonce=b"c")
+        first.settle(late, await one.run(late.transaction), 1.3)
+        assert not first.may_order(1.3)
+
+    with_store(use)
--- a/tests/test_upstream_connection.py
+++ b/tests/test_upstream_connection.py
@@ -2,7 +2,6 @@
 import time
 
 import pytest
-from platform_standins import answer_bytes, running_upstream
 
 from endivelug.exceptions import UpstreamBroken, UpstreamUnreachable
 from endivelug.forwarding.connection_pool import ConnectionPool
@@ -12,6 +11,7 @@
     RequestHead,
     ResponseHead,
 )
+from platform_standins import answer_bytes, running_upstream
 
 
 def head(request_id="q1"):
