Judge each named version by its own limit; resign after the renewal in progress

And a VM that got SIGTERM while a renewal was under way resigned, then held the lease again and renewed it until its end, 12 s without orders. Ruled out: a late feed (all VMs knew each version within 75 ms).

--- a/src/endivelug/forwarding/cluster_view.py
+++ b/src/endivelug/forwarding/cluster_view.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from endivelug.forwarding.engine_load import InstanceLoads
 from endivelug.forwarding.instances import Instance, InstanceRegistry
@@ -25,23 +25,58 @@
 LogLine = Callable[..., None]
 
 
+# Versions of one model that are remembered; older ones are outdated for long.
+MAX_NAMED = 16
+
+
 @dataclass(slots=True, kw_only=True)
-class WantedWeights:
-    """Weights that the operator wants.
+class NamedVersion:
+    """One version that the operator named.
 
     Attributes
     ----------
     known_at : float
-        Since when they are known, at the latest.
+        When it was named, as far as known.
     live : bool
-        Whether this VM or a peer saw the change itself; otherwise it may be old.
+        Whether this VM or a peer saw the change itself; otherwise it may be older.
     """
 
-    version: int
     known_at: float
     live: bool
 
 
+@dataclass(slots=True, kw_only=True)
+class WantedWeights:
+    """Weights that the operator wants for one model.
+
+    Attributes
+    ----------
+    version : int
+        The newest version.
+    named : dict of int to NamedVersion
+        The newest and former versions; each has a time limit of its own.
+    """
+
+    version: int
+    named: dict[int, NamedVersion] = field(default_factory=dict)
+
+    def outdated_at(self, version: int) -> float | None:
+        """Return when the first newer version was named, or None."""
+        newer = [item.known_at for name, item in self.named.items() if name > version]
+        return min(newer, default=None)
+
+    def add(self, version: int, named: NamedVersion) -> None:
+        """Add a version, or correct what is known of it."""
+        known = self.named.get(version)
+        if known is None or (named.live and not known.live):
+            self.named[version] = named
+        elif named.live and named.known_at < known.known_at:
+            known.known_at = named.known_at
+        self.version = max(self.version, version)
+        for old in sorted(self.named)[:-MAX_NAMED]:
+            del self.named[old]
+
+
 class ClusterView:
     """State that the decisions read.
 
@@ -160,12 +195,9 @@
     def heard_weights(self, model: str, version: int, *, age_s: float) -> None:
         """Take in from a peer that saw the change how old wanted weights are."""
         wanted = self.weights.get(model)
-        if wanted is None or wanted.version != version:
-            return
-        known_at = self.clock() - age_s
-        if not wanted.live or known_at < wanted.known_at:
-            wanted.known_at = known_at
-            wanted.live = True
+        if wanted is not None and version <= wanted.version:
+            known_at = self.clock() - age_s
+            wanted.add(version, NamedVersion(known_at=known_at, live=True))
 
     def cache_store(self) -> CacheStore | None:
         """Return the store of kept KV cache, or None."""
@@ -220,9 +252,8 @@
             return
         live = row.table in self.read_tables
         age_s = 0.0 if live else self.unknown_age_s
-        self.weights[model] = WantedWeights(
-            version=version, known_at=self.clock() - age_s, live=live
-        )
+        wanted = self.weights.setdefault(model, WantedWeights(version=version))
+        wanted.add(version, NamedVersion(known_at=self.clock() - age_s, live=live))
         self.log(
             "weights-wanted",
             model=model,
--- a/src/endivelug/forwarding/peers.py
+++ b/src/endivelug/forwarding/peers.py
@@ -247,9 +247,10 @@
             parts=parts,
             wanted=[
                 # Whole seconds, so that the report does not change all the time.
-                WantedAge(model=model, version=item.version, age_s=float(age_s))
-                for model, item in self.view.weights.items()
-                if item.live and (age_s := int(now - item.known_at)) < AGE_TOLD_S
+                WantedAge(model=model, version=version, age_s=float(age_s))
+                for model, wanted in self.view.weights.items()
+                for version, named in wanted.named.items()
+                if named.live and (age_s := int(now - named.known_at)) < AGE_TOLD_S
             ],
         )
 
--- a/src/endivelug/forwarding/placing.py
+++ b/src/endivelug/forwarding/placing.py
@@ -164,10 +164,10 @@
             if version is None:
                 continue
             current = wanted is None or version >= wanted.version
-            if wanted is not None and not current:
-                last_s = self.weights_limit_s - OLD_WEIGHTS_MARGIN_S
-                if now >= wanted.known_at + last_s:
-                    continue
+            outdated_at = wanted.outdated_at(version) if wanted else None
+            last_s = self.weights_limit_s - OLD_WEIGHTS_MARGIN_S
+            if outdated_at is not None and now >= outdated_at + last_s:
+                continue
             namespace = self._namespace(call, version)
             source = self._source(call, instance, namespace, limits)
             total = load.total(instance.name, now=now)
--- a/src/endivelug/lease_keeper.py
+++ b/src/endivelug/lease_keeper.py
@@ -61,11 +61,15 @@
         self.is_candidate = is_candidate
         self.rng = rng
         self.clock = clock
+        self.resigned = False
+        # A renewal in progress would take the lease again after a resignation.
+        self._lock = asyncio.Lock()
 
     async def run(self) -> None:
-        """Keep the lease until cancelled."""
-        while True:
-            await self.step()
+        """Keep the lease until cancelled or resigned."""
+        while not self.resigned:
+            async with self._lock:
+                await self.step()
             await asyncio.sleep(self.renew_s * self.rng.uniform(0.8, 1.0))
 
     async def step(self) -> None:
@@ -84,10 +88,12 @@
             await self._run(write)
 
     async def resign(self) -> None:
-        """Give the lease up; call it when no order is in progress."""
-        write = self.lease.resignation(self.clock(), nonce=self.rng.randbytes(8))
-        if write is not None:
-            await self._run(write)
+        """Give the lease up for good; call it when no order is sent any more."""
+        self.resigned = True
+        async with self._lock:
+            write = self.lease.resignation(self.clock(), nonce=self.rng.randbytes(8))
+            if write is not None:
+                await self._run(write)
 
     async def _run(self, write: LeaseWrite) -> None:
         try:
--- a/tests/test_cluster_view.py
+++ b/tests/test_cluster_view.py
@@ -50,11 +50,11 @@
     view.unknown_age_s = 7.0
     view.read_tables.discard("op")
     apply(view, stored_row("op", "version/m", WEIGHTS, 20))
-    assert view.weights["m"].known_at == 93.0
+    assert view.weights["m"].outdated_at(1) == 93.0
     view.heard_weights("m", 2, age_s=1.0)
-    assert view.weights["m"].known_at == 99.0
+    assert view.weights["m"].outdated_at(1) == 99.0
     view.heard_weights("m", 2, age_s=4.0)
-    assert view.weights["m"].known_at == 96.0
+    assert view.weights["m"].outdated_at(1) == 96.0
 
 
 # Guards against a limit that starts late because this VM was cut off from the store.
@@ -63,7 +63,7 @@
     view = make_view(clock)
     view.unknown_age_s = 7.0
     apply(view, stored_row("op", "version/m", WEIGHTS, 20))
-    assert view.weights["m"].known_at == 100.0
+    assert view.weights["m"].outdated_at(1) == 100.0
 
 
 # Guards against cached parts that are relied on after an engine took new weights.
@@ -85,3 +85,26 @@
     view.observe_weights(view.registry.get("e1"), "m", 5)
     apply(view, stored_row("servers", "e1", registration_document(born=2000), 30))
     assert view.weights_of(view.registry.get("e1"), "m") == 1
+
+
+# Guards against a new limit for old weights with each version named: engines on version
+# 1 are judged from the naming of version 2, also after version 3.
+def test_each_version_named_has_its_own_limit():
+    clock = ManualClock(100.0)
+    view = make_view(clock)
+    apply(view, stored_row("op", "version/m", WEIGHTS, 20))
+    clock.now = 107.0
+    apply(view, stored_row("op", "version/m", {"model": "m", "version": 3}, 21))
+    wanted = view.weights["m"]
+    assert wanted.outdated_at(1) == 100.0
+    assert wanted.outdated_at(2) == 107.0
+    assert wanted.outdated_at(3) is None
+
+
+# Guards against a VM that read only the newest row and does not know the former limits.
+def test_peers_tell_of_versions_named_before():
+    view = make_view(ManualClock(100.0))
+    apply(view, stored_row("op", "version/m", {"model": "m", "version": 3}, 21))
+    view.heard_weights("m", 2, age_s=9.0)
+    assert view.weights["m"].outdated_at(1) == 91.0
+    assert view.weights["m"].version == 3
