Tell peers at once which weights an engine has

Cause: the routers' report had a field for observed weights that nothing filled, so a router learned of finished orders with the engine's next heartbeat (up to 2 s) and its requests, pinned to the old version, were answered 421. Whoever sees the weights first hand tells them for 2.5 s; a test fails without it. Unused fields are removed.

--- a/src/endivelug/forwarding/cluster_view.py
+++ b/src/endivelug/forwarding/cluster_view.py
@@ -108,6 +108,7 @@
         self.log = log
         self.on_change = on_change
         self.on_gone: Callable[[Instance], None] = lambda instance: None
+        self.on_weights: Callable[[Instance, str, int], None] = lambda *seen: None
         self.configuration: RoutingConfiguration | None = None
         self.weights: dict[str, WantedWeights] = {}
         self.registry = InstanceRegistry()
@@ -176,8 +177,16 @@
             return listed if seen is None else seen
         return max(listed, seen)
 
-    def observe_weights(self, instance: Instance, model: str, version: int) -> None:
-        """Note the weights that an engine was seen to have."""
+    def observe_weights(
+        self, instance: Instance, model: str, version: int, *, told: bool = False
+    ) -> None:
+        """Note the weights that an engine was seen to have.
+
+        Parameters
+        ----------
+        told : bool
+            Whether a peer saw it; then it is not told to others again.
+        """
         known = self.weights_of(instance, model)
         if known is not None and version <= known:
             return
@@ -190,6 +199,8 @@
             version=version,
             before=known,
         )
+        if not told:
+            self.on_weights(instance, model, version)
         self.on_change()
 
     def heard_weights(self, model: str, version: int, *, age_s: float) -> None:
--- a/src/endivelug/forwarding/connection_pool.py
+++ b/src/endivelug/forwarding/connection_pool.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from endivelug.exceptions import UpstreamBroken, UpstreamUnreachable
+from endivelug.exceptions import UpstreamBroken
 from endivelug.forwarding.upstream_connection import (
     BodyData,
     BodyEnd,
@@ -47,7 +47,6 @@
 
     clock: Callable[[], float]
     idle: dict[str, list[_Kept]] = field(default_factory=dict)
-    in_use: dict[str, int] = field(default_factory=dict)
     opened: int = 0
 
     async def acquire(
@@ -172,11 +171,3 @@
                 case BodyEnd():
                     assert head is not None
                     return SmallAnswer(head=head, body=bytes(body))
-
-
-__all__ = [
-    "ConnectionPool",
-    "SmallAnswer",
-    "UpstreamBroken",
-    "UpstreamUnreachable",
-]
--- a/src/endivelug/forwarding/node.py
+++ b/src/endivelug/forwarding/node.py
@@ -279,6 +279,7 @@
         await peers.listen(host=self.settings.ip, port=self.settings.link_port)
         self.peers = peers
         self.orders.ordered_by_peer_at = peers.ordered_by_peer_at
+        self.view.on_weights = peers.saw_weights
         await self._dial_all(peers)
         await peers.run()
 
--- a/src/endivelug/forwarding/peer_messages.py
+++ b/src/endivelug/forwarding/peer_messages.py
@@ -24,7 +24,7 @@
     for_s: float
 
 
-@dataclass(slots=True, kw_only=True)
+@dataclass(slots=True, kw_only=True, frozen=True)
 class EngineWeights:
     """Weights that the sender saw on an engine."""
 
--- a/src/endivelug/forwarding/peers.py
+++ b/src/endivelug/forwarding/peers.py
@@ -8,6 +8,7 @@
 
 from endivelug.exceptions import EndivelugError, LinkBusy, LinkClosed
 from endivelug.forwarding.cluster_view import ClusterView, LogLine
+from endivelug.forwarding.instances import Instance
 from endivelug.forwarding.peer_messages import (
     EngineWeights,
     HeldPart,
@@ -41,6 +42,8 @@
 ROWS_DELAY_S = 0.25
 ROWS_TIMEOUT_S = 1.0
 MAX_PARTS = 200
+# The registry tells of new weights with the next heartbeat of the engine.
+WEIGHTS_TOLD_S = 2.5
 # Weights that were named longer ago count as old everywhere.
 AGE_TOLD_S = 60
 MARK_MAX_S = 5.0
@@ -106,7 +109,7 @@
         self.known: set[str] = set()
         self.marks: dict[tuple[str, str], float] = {}
         self.parts: list[HeldPart] = []
-        self.weights: dict[tuple[str, str], EngineWeights] = {}
+        self.weights: dict[EngineWeights, float] = {}
         self.ordered_by_peers: dict[str, float] = {}
         self.keepers: dict[str, asyncio.Task[None]] = {}
         self.prompt: PromptHandlers = {
@@ -191,6 +194,21 @@
         if reading_s:
             self.announce()
 
+    def saw_weights(self, instance: Instance, model: str, version: int) -> None:
+        """Tell the peers which weights an engine has, before the registry does."""
+        now = self.clock()
+        self.weights = {
+            seen: until for seen, until in self.weights.items() if until > now
+        }
+        seen = EngineWeights(
+            instance=instance.name,
+            started_ms=instance.started_ms,
+            model=model,
+            version=version,
+        )
+        self.weights[seen] = now + WEIGHTS_TOLD_S
+        self.announce()
+
     def announce(self) -> None:
         """Send a report without waiting for the next turn."""
         self._changed.set()
@@ -243,7 +261,7 @@
             work=self.view.loads.reports(),
             retries=self.budget.report(now=now),
             marks=marks,
-            weights=list(self.weights.values()),
+            weights=[seen for seen, until in self.weights.items() if until > now],
             parts=parts,
             wanted=[
                 # Whole seconds, so that the report does not change all the time.
@@ -343,7 +361,7 @@
         for seen in report.weights:
             instance = self.view.registry.get(seen.instance)
             if instance is not None and instance.started_ms == seen.started_ms:
-                self.view.observe_weights(instance, seen.model, seen.version)
+                self.view.observe_weights(instance, seen.model, seen.version, told=True)
 
     def _rows_for(self, link: Link, request: RowsRequest) -> RowsReply:
         return RowsReply(
--- a/src/endivelug/platform/edge.py
+++ b/src/endivelug/platform/edge.py
@@ -50,7 +50,6 @@
         "host",
     }
 )
-MAX_PRIORITY = 9
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d+)", re.IGNORECASE)
 
 
--- a/src/endivelug/platform/engine_calls.py
+++ b/src/endivelug/platform/engine_calls.py
@@ -3,7 +3,7 @@
 import json
 from typing import Any
 
-from endivelug.exceptions import UpstreamBroken, UpstreamUnreachable
+from endivelug.exceptions import UpstreamBroken
 from endivelug.forwarding.connection_pool import ConnectionPool, SmallAnswer
 from endivelug.forwarding.instances import Instance
 from endivelug.forwarding.upstream_connection import RequestHead
@@ -109,6 +109,3 @@
     if not isinstance(document, dict):
         raise UpstreamBroken("the engine's answer is not an object; ask again")
     return document
-
-
-__all__ = ["EngineCalls", "UpstreamUnreachable"]
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -140,3 +140,18 @@
         assert one.server.rejected > 0
 
     play(use, second_secret=b"other")
+
+
+# Guards against requests pinned to old weights until the engine's next heartbeat: each
+# is answered "misdirected" and counts as an arrival.
+def test_new_weights_of_an_engine_reach_the_peers_at_once():
+    async def use(one, two):
+        await until(lambda: one.peers and two.peers)
+        fill(one.view, 7)
+        await until(lambda: two.view.complete)
+        one.view.on_weights = one.saw_weights
+        one.view.observe_weights(one.view.registry.get("e1"), "m", 2)
+        engine = two.view.registry.get("e1")
+        await until(lambda: two.view.weights_of(engine, "m") == 2, limit_s=0.5)
+
+    play(use)
