--- a/src/endivelug/logs.py
+++ b/src/endivelug/logs.py
@@ -24,7 +24,7 @@
     Parameters
     ----------
     event : str
-        Kind of the change, for example ``router-ready``; docs/operations.md lists
+        Kind of the change, for example ``router-ready``; docs/OPERATIONS.md lists
         all of them.
     **fields : Any
         Values that an operator needs; never a key, prompt or answer.
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -229,3 +229,30 @@
         for heading in headings
     }
     assert anchor in anchors
+
+
+FORWARDING = sorted((ROOT / "src" / "endivelug" / "forwarding").glob("*.py"))
+
+
+# Guards against a log line of the platform's router that the operators' page lacks.
+def test_operations_page_lists_the_events_of_the_forwarding_package():
+    page = (ROOT / "docs" / "OPERATIONS.md").read_text()
+    events = {
+        event
+        for path in FORWARDING
+        for event in re.findall(r'\blog\(\s*"([a-z-]+)"', path.read_text())
+    }
+    assert len(events) > 20
+    assert [event for event in sorted(events) if f"`{event}`" not in page] == []
+
+
+# Guards against a metric of the platform's router that the operators' page lacks.
+def test_operations_page_lists_the_metrics_of_the_forwarding_package():
+    page = (ROOT / "docs" / "OPERATIONS.md").read_text()
+    names = {
+        name
+        for path in FORWARDING
+        for name in re.findall(r'"(endivelug_[a-z_]+)"', path.read_text())
+    }
+    assert len(names) >= 6
+    assert [name for name in sorted(names) if f"`{name}`" not in page] == []
