Drain eliot's start buffer in the tests of the decision log

Cause: eliot keeps messages that were logged without a destination and delivers them to the first one added, so in the whole run the test read lines of earlier tests. The check is unchanged.

--- a/tests/test_decision_log.py
+++ b/tests/test_decision_log.py
@@ -18,6 +18,10 @@
 
 
 def make_log(clock):
+    # eliot keeps messages of earlier tests for the first destination that is added.
+    sink = [].append
+    eliot.add_destinations(sink)
+    eliot.remove_destination(sink)
     reading, writing = os.pipe()
     log = DecisionLog(descriptor=writing, clock=clock)
     eliot.add_destinations(log._write)
