Split the node and the peers; start failed background jobs again

Behaviour is the same but for one thing: a background job that raised an unexpected error ended for good and left the VM with an old state; it is logged and started again (test).

--- a/src/endivelug/forwarding/node.py
+++ b/src/endivelug/forwarding/node.py
@@ -2,22 +2,16 @@
 
 import asyncio
 import random
-import secrets
 import signal
 import time
 from collections.abc import Callable, Coroutine
-from typing import Any, Protocol
-
-import cbor2
+from typing import Any
 
 from endivelug.busiest import BusiestOrganisations
-from endivelug.exceptions import (
-    TableOutcomeUnknown,
-    TableUnavailable,
-    UpstreamUnreachable,
-)
+from endivelug.forwarding.adapter import Platform
 from endivelug.forwarding.attempt import AttemptRunner
-from endivelug.forwarding.calls import Call, Delivered, Ending
+from endivelug.forwarding.cache_notes import CacheNotes
+from endivelug.forwarding.calls import Call
 from endivelug.forwarding.cluster_view import ClusterView
 from endivelug.forwarding.connection_pool import ConnectionPool
 from endivelug.forwarding.decision_log import DecisionLog
@@ -27,17 +21,16 @@
 from endivelug.forwarding.instances import Instance
 from endivelug.forwarding.node_metrics import NodeMetrics
 from endivelug.forwarding.node_settings import NodeSettings
-from endivelug.forwarding.order_giver import EngineControl, OrderGiver
+from endivelug.forwarding.order_giver import OrderGiver
 from endivelug.forwarding.peers import Peers
 from endivelug.forwarding.placing import OLD_WEIGHTS_MARGIN_S, Placement, Placer
-from endivelug.forwarding.records import RecordFormat
-from endivelug.forwarding.requests import WireFormat
+from endivelug.forwarding.prompt_cache import PromptPart
 from endivelug.forwarding.retry_budget import SharedRetryBudget
-from endivelug.forwarding.row_store import RowStore, RowWrite
-from endivelug.forwarding.silence import is_silent
+from endivelug.forwarding.silence_watch import SilenceWatch
 from endivelug.forwarding.state_sync import StateSync
 from endivelug.forwarding.upstream_connection import Headers
-from endivelug.lease_keeper import LeaseKeeper, LeaseRows, boot_clock
+from endivelug.forwarding.vm_rows import VmRows
+from endivelug.lease_keeper import LeaseKeeper, boot_clock
 from endivelug.leases import Lease
 from endivelug.links import Identity
 
@@ -53,45 +46,12 @@
 # Links to the peers are up and orders are given within this time after a start.
 START_S = 3.0
 SWEEP_S = 1.0
-# An engine that reads a shared part is waited for this long beyond the expected time.
-READING_MIN_S = 0.5
-SILENCE_CHECK_S = 0.1
-# Peers leave a silent instance for this long at a time.
-SILENT_MARK_S = 1.0
-REACH_S = 0.4
-REACH_TIMEOUT_S = 0.4
-JOIN_RETRY_S = 0.5
-SECRET_KEY = "link-secret"
-VM_PREFIX = "vm/"
+# A background job that failed starts again after this time.
+RESTART_S = 0.5
 METRICS_PORT = 9464
 
 
-class Platform(Protocol):
-    """The adapter to the platform that a node runs on."""
-
-    @property
-    def wire(self) -> WireFormat:
-        """Headers of callers and upstreams."""
-
-    @property
-    def records(self) -> RecordFormat:
-        """Rows of the platform's tables."""
-
-    @property
-    def store(self) -> RowStore:
-        """The platform's store."""
-
-    @property
-    def lease_rows(self) -> LeaseRows:
-        """Rows of leases."""
-
-    @property
-    def engines(self) -> EngineControl:
-        """Reports and orders of engines."""
-
-    @property
-    def own_table(self) -> str:
-        """Table for the rows of the routers themselves."""
+Job = Callable[[], Coroutine[Any, Any, None]]
 
 
 class Node:
@@ -175,6 +135,16 @@
             is_candidate=self._is_candidate,
             rng=rng,
         )
+        self.notes = CacheNotes(view=self.view, tell=self._tell_parts, clock=self.clock)
+        self.silence = SilenceWatch(
+            view=self.view,
+            placer=self.placer,
+            pool=self.pool,
+            on_avoid=self._avoided,
+            clock=self.clock,
+            rng=rng,
+            log=log,
+        )
         self.forwarder = self._make_forwarder()
         self.front = FrontServer(handler=self.forwarder.handle)
         self.ready = FrontServer(handler=self._answer_ready)
@@ -202,8 +172,8 @@
             rng=self.rng,
             log=self.log,
             on_avoid=self._avoided,
-            on_sending=self._sending,
-            on_ended=self._ended,
+            on_sending=self.notes.sending,
+            on_ended=self.notes.ended,
         )
 
     @property
@@ -221,26 +191,31 @@
         self._listen()
         self.log("started", data_centre=self.settings.data_centre)
         for job in (
-            self.sync.run(),
-            self._join(),
-            self.dispatcher.run(),
-            self.orders.run(),
-            self.keeper.run(),
-            self._sweep(),
-            self._watch_silence(),
+            self.sync.run,
+            self._join,
+            self.dispatcher.run,
+            self.orders.run,
+            self.keeper.run,
+            self._sweep,
+            self.silence.run,
         ):
             self._spawn(job)
         await stop.wait()
         await self._stop()
 
-    def _spawn(self, job: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(job)
-        task.add_done_callback(self._job_ended)
-        self._tasks.append(task)
+    def _spawn(self, job: Job) -> None:
+        self._tasks.append(asyncio.create_task(self._supervise(job)))
 
-    def _job_ended(self, task: asyncio.Task[None]) -> None:
-        if not task.cancelled() and task.exception() is not None:
-            self.log("job-failed", reason=repr(task.exception()))
+    async def _supervise(self, job: Job) -> None:
+        """Run a job, and start it again where it fails."""
+        while True:
+            try:
+                await job()
+                return
+            except Exception as error:
+                # A fault in one job must not leave the VM with an old state for ever.
+                self.log("job-failed", job=job.__qualname__, reason=repr(error))
+                await asyncio.sleep(RESTART_S)
 
     def _listen(self) -> None:
         self.ready.listen(self.settings.ready)
@@ -252,14 +227,19 @@
         self.log("reloaded", changed=0)
 
     async def _join(self) -> None:
-        """Make this VM known and link to the others."""
-        while True:
-            try:
-                secret = await self._secret()
-                break
-            except (TableUnavailable, TableOutcomeUnknown) as error:
-                self.log("join-delayed", reason=str(error))
-                await asyncio.sleep(JOIN_RETRY_S * self.rng.uniform(0.5, 1.0))
+        """Make this VM known, link to the others and report to them."""
+        if self.peers is None:
+            self.peers = await self._make_peers()
+        await self.peers.run()
+
+    async def _make_peers(self) -> Peers:
+        rows = VmRows(
+            store=self.platform.store,
+            table=self.platform.own_table,
+            rng=self.rng,
+            log=self.log,
+        )
+        secret = await rows.secret()
         peers = Peers(
             identity=Identity(
                 vm=self.settings.vm,
@@ -277,46 +257,12 @@
             log=self.log,
         )
         await peers.listen(host=self.settings.ip, port=self.settings.link_port)
-        self.peers = peers
         self.orders.ordered_by_peer_at = peers.ordered_by_peer_at
         self.view.on_weights = peers.saw_weights
-        await self._dial_all(peers)
-        await peers.run()
-
-    async def _secret(self) -> bytes:
-        """Return the secret of the links, made by the first VM."""
-        store, table = self.platform.store, self.platform.own_table
-        while True:
-            page = await store.read(table, first=SECRET_KEY, last=SECRET_KEY + "!")
-            for row in page.rows:
-                return row.value
-            write = RowWrite(
-                table=table,
-                key=SECRET_KEY,
-                value=secrets.token_bytes(32),
-                expected_version=0,
-            )
-            await store.write([write])
-
-    async def _dial_all(self, peers: Peers) -> None:
         address = f"{self.settings.ip}:{self.settings.link_port}"
-        own = RowWrite(
-            table=self.platform.own_table,
-            key=VM_PREFIX + self.settings.vm,
-            value=cbor2.dumps(address),
-        )
-        while True:
-            try:
-                await self.platform.store.write([own])
-                page = await self.platform.store.read(
-                    self.platform.own_table, first=VM_PREFIX, last=VM_PREFIX + "\x7f"
-                )
-                break
-            except (TableUnavailable, TableOutcomeUnknown) as error:
-                self.log("join-delayed", reason=str(error))
-                await asyncio.sleep(JOIN_RETRY_S * self.rng.uniform(0.5, 1.0))
-        for row in page.rows:
-            peers.dial(row.key.removeprefix(VM_PREFIX), cbor2.loads(row.value))
+        for vm, other in (await rows.register(self.settings.vm, address)).items():
+            peers.dial(vm, other)
+        return peers
 
     async def _sweep(self) -> None:
         while True:
@@ -324,51 +270,6 @@
             self.pool.sweep()
             self._share()
 
-    async def _watch_silence(self) -> None:
-        """Leave instances that give no sign, and return when they can be reached."""
-        probes: dict[str, asyncio.Task[None]] = {}
-        while True:
-            await asyncio.sleep(SILENCE_CHECK_S)
-            now = self.clock()
-            for instance in self.view.registry.all():
-                load = self.view.loads.of(instance.name)
-                engine = bool(instance.model_versions)
-                rate = self.placer.rate_of(instance.service).tokens_per_s
-                if load.silent or not is_silent(
-                    load, now=now, engine=engine, tokens_per_s=rate
-                ):
-                    continue
-                load.silent = True
-                self.pool.drop(instance.address)
-                self.log(
-                    "instance-silent",
-                    instance=instance.name,
-                    work=len(load.work),
-                    quiet_s=round(now - load.last_answer_at, 2),
-                )
-                self._avoided(instance.name, SILENT_MARK_S)
-                probes[instance.name] = asyncio.create_task(self._reach(instance))
-
-    async def _reach(self, instance: Instance) -> None:
-        """Wait until a new connection to a silent instance can be made."""
-        load = self.view.loads.of(instance.name)
-        while self.view.registry.get(instance.name) == instance:
-            await asyncio.sleep(REACH_S * self.rng.uniform(0.7, 1.3))
-            try:
-                connection = await self.pool.acquire(
-                    instance.address, timeout_s=REACH_TIMEOUT_S
-                )
-            except UpstreamUnreachable:
-                self._avoided(instance.name, SILENT_MARK_S)
-                continue
-            self.pool.release(instance.address, connection, idle_s=None)
-            break
-        load.silent = False
-        load.last_answer_at = self.clock()
-        if self.view.registry.get(instance.name) == instance:
-            self.log("instance-reached", instance=instance.name)
-        self.dispatcher.wake()
-
     def _share(self) -> None:
         """Divide what all VMs share by the number of those that live."""
         if self.peers is not None:
@@ -390,6 +291,12 @@
         rank = self.peers.rank() if self.peers is not None else 0
         return now - self.lonely_since > 0.6 * rank
 
+    def _tell_parts(
+        self, holder: str, namespace: str, parts: list[PromptPart], reading_s: float
+    ) -> None:
+        if self.peers is not None:
+            self.peers.hold(holder, namespace, parts, reading_s=reading_s)
+
     def _announce(self) -> None:
         if self.peers is not None:
             self.peers.announce()
@@ -412,45 +319,9 @@
         self.metrics.started(call, now=now)
         if placement.namespace is None:
             return
-        self._held(name, placement.namespace, call)
+        self.notes.held(name, placement.namespace, call)
         self.dispatcher.wake()
 
-    def _sending(self, placement: Placement) -> None:
-        """Tell everyone which shared parts an engine begins to read."""
-        if placement.namespace is None or not placement.reads:
-            return
-        name, parts = placement.instance.name, list(placement.reads)
-        reading_s = READING_MIN_S + 2 * placement.expected_s
-        self.view.caches.begin_reading(
-            name,
-            namespace=placement.namespace,
-            parts=parts,
-            until=self.clock() + reading_s,
-        )
-        if self.peers is not None:
-            self.peers.hold(name, placement.namespace, parts, reading_s=reading_s)
-
-    def _ended(self, call: Call, placement: Placement, ending: Ending | None) -> None:
-        """Note what an attempt left in the caches."""
-        if placement.namespace is None:
-            return
-        if isinstance(ending, Delivered) and placement.save_to is not None:
-            # The engine sends the parts to the store once it has read them.
-            self._held(placement.save_to, placement.namespace, call)
-        if isinstance(ending, Delivered) or not placement.reads:
-            return
-        name, parts = placement.instance.name, list(placement.reads)
-        self.view.caches.stop_reading(name, namespace=placement.namespace, parts=parts)
-        if self.peers is not None:
-            self.peers.hold(name, placement.namespace, parts, reading_s=-1.0)
-
-    def _held(self, holder: str, namespace: str, call: Call) -> None:
-        parts = call.request.prompt
-        known = self.view.caches.held_tokens(holder, namespace=namespace, parts=parts)
-        self.view.caches.note(holder, namespace=namespace, parts=parts)
-        if self.peers is not None and known < sum(part.tokens for part in parts):
-            self.peers.hold(holder, namespace, parts)
-
     def _instance_gone(self, instance: Instance) -> None:
         self.pool.drop(instance.address)
         if not self.view.loads.of(instance.name).work:
--- a/src/endivelug/forwarding/peers.py
+++ b/src/endivelug/forwarding/peers.py
@@ -20,6 +20,7 @@
     TableVersion,
     WantedAge,
 )
+from endivelug.forwarding.peer_reports import ReportReader
 from endivelug.forwarding.prompt_cache import PromptPart
 from endivelug.forwarding.retry_budget import SharedRetryBudget
 from endivelug.forwarding.row_store import RowPage, StoredRow
@@ -46,10 +47,6 @@
 WEIGHTS_TOLD_S = 2.5
 # Weights that were named longer ago count as old everywhere.
 AGE_TOLD_S = 60
-MARK_MAX_S = 5.0
-# A mark is ignored where the instance has just answered this VM: the path of the peer
-# may be what is broken.
-CONTRADICTED_S = 0.5
 # A holder of the lease that is silent for longer may have stopped.
 LEASE_SILENT_S = 0.8
 
@@ -110,7 +107,7 @@
         self.marks: dict[tuple[str, str], float] = {}
         self.parts: list[HeldPart] = []
         self.weights: dict[EngineWeights, float] = {}
-        self.ordered_by_peers: dict[str, float] = {}
+        self.reader = ReportReader(view=view, budget=budget, clock=clock)
         self.keepers: dict[str, asyncio.Task[None]] = {}
         self.prompt: PromptHandlers = {
             RouterReport: self._heard,
@@ -170,7 +167,7 @@
 
     def ordered_by_peer_at(self, instance: str) -> float:
         """Return when a peer last had an order in progress at an instance."""
-        return self.ordered_by_peers.get(instance, float("-inf"))
+        return self.reader.ordered_by_peers.get(instance, float("-inf"))
 
     def hold(
         self,
@@ -315,14 +312,7 @@
             peer = self.peers[vm] = Peer(link=link, heard_at=now)
         peer.link, peer.heard_at = link, now
         peer.lease_until = now + report.lease_s if report.lease_s > 0 else 0.0
-        self.view.loads.heard(vm, report.work, now=now)
-        self.budget.heard(vm, report.retries)
-        self._apply_marks(vm, report, now)
-        self._apply_weights(report)
-        for part in report.parts:
-            self._apply_part(part, now)
-        for item in report.wanted:
-            self.view.heard_weights(item.model, item.version, age_s=item.age_s)
+        self.reader.apply(vm, report)
         for table in report.tables:
             if table.version > self.view.highest.get(table.table, 0):
                 peer.behind_since.setdefault(table.table, now)
@@ -330,39 +320,6 @@
                 peer.behind_since.pop(table.table, None)
         self.view.on_change()
 
-    def _apply_marks(self, vm: str, report: RouterReport, now: float) -> None:
-        for load in self.view.loads.loads.values():
-            load.orders.pop(vm, None)
-        for mark in report.marks:
-            load = self.view.loads.of(mark.instance)
-            until = now + min(mark.for_s, MARK_MAX_S)
-            if mark.kind == "order":
-                load.orders[vm] = until
-                self.ordered_by_peers[mark.instance] = now
-            elif now - load.last_answer_at > CONTRADICTED_S:
-                load.avoid_until = max(load.avoid_until, until)
-
-    def _apply_part(self, part: HeldPart, now: float) -> None:
-        caches = self.view.caches
-        parts = [PromptPart(part=part.part, tokens=part.tokens)]
-        if part.reading_s > 0:
-            caches.begin_reading(
-                part.holder,
-                namespace=part.namespace,
-                parts=parts,
-                until=now + part.reading_s,
-            )
-        elif part.reading_s < 0:
-            caches.stop_reading(part.holder, namespace=part.namespace, parts=parts)
-        else:
-            caches.note(part.holder, namespace=part.namespace, parts=parts)
-
-    def _apply_weights(self, report: RouterReport) -> None:
-        for seen in report.weights:
-            instance = self.view.registry.get(seen.instance)
-            if instance is not None and instance.started_ms == seen.started_ms:
-                self.view.observe_weights(instance, seen.model, seen.version, told=True)
-
     def _rows_for(self, link: Link, request: RowsRequest) -> RowsReply:
         return RowsReply(
             table=request.table,
--- /dev/null
+++ b/src/endivelug/forwarding/silence_watch.py
@@ -0,0 +1,93 @@
+"""Leaves instances that fell silent, and returns when they can be reached."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from endivelug.exceptions import UpstreamUnreachable
+from endivelug.forwarding.cluster_view import ClusterView, LogLine
+from endivelug.forwarding.connection_pool import ConnectionPool
+from endivelug.forwarding.instances import Instance
+from endivelug.forwarding.placing import Placer
+from endivelug.forwarding.silence import is_silent
+
+SILENCE_CHECK_S = 0.1
+# Peers leave a silent instance for this long at a time.
+SILENT_MARK_S = 1.0
+REACH_S = 0.4
+REACH_TIMEOUT_S = 0.4
+
+
+class SilenceWatch:
+    """Looks at all instances regularly.
+
+    Parameters
+    ----------
+    on_avoid : callable
+        Called with the name of an instance and the seconds for which peers avoid it.
+    """
+
+    def __init__(
+        self,
+        *,
+        view: ClusterView,
+        placer: Placer,
+        pool: ConnectionPool,
+        on_avoid: Callable[[str, float], None],
+        clock: Callable[[], float],
+        rng: random.Random,
+        log: LogLine,
+    ) -> None:
+        self.view = view
+        self.placer = placer
+        self.pool = pool
+        self.on_avoid = on_avoid
+        self.clock = clock
+        self.rng = rng
+        self.log = log
+        self.probes: dict[str, asyncio.Task[None]] = {}
+
+    async def run(self) -> None:
+        """Leave instances that give no sign, and return when they can be reached."""
+        while True:
+            await asyncio.sleep(SILENCE_CHECK_S)
+            now = self.clock()
+            for instance in self.view.registry.all():
+                load = self.view.loads.of(instance.name)
+                engine = bool(instance.model_versions)
+                rate = self.placer.rate_of(instance.service).tokens_per_s
+                if load.silent or not is_silent(
+                    load, now=now, engine=engine, tokens_per_s=rate
+                ):
+                    continue
+                load.silent = True
+                self.pool.drop(instance.address)
+                self.log(
+                    "instance-silent",
+                    instance=instance.name,
+                    work=len(load.work),
+                    quiet_s=round(now - load.last_answer_at, 2),
+                )
+                self.on_avoid(instance.name, SILENT_MARK_S)
+                task = asyncio.create_task(self._reach(instance))
+                self.probes[instance.name] = task
+
+    async def _reach(self, instance: Instance) -> None:
+        """Wait until a new connection to a silent instance can be made."""
+        load = self.view.loads.of(instance.name)
+        while self.view.registry.get(instance.name) == instance:
+            await asyncio.sleep(REACH_S * self.rng.uniform(0.7, 1.3))
+            try:
+                connection = await self.pool.acquire(
+                    instance.address, timeout_s=REACH_TIMEOUT_S
+                )
+            except UpstreamUnreachable:
+                self.on_avoid(instance.name, SILENT_MARK_S)
+                continue
+            self.pool.release(instance.address, connection, idle_s=None)
+            break
+        load.silent = False
+        load.last_answer_at = self.clock()
+        if self.view.registry.get(instance.name) == instance:
+            self.log("instance-reached", instance=instance.name)
+        self.view.on_change()
--- /dev/null
+++ b/src/endivelug/forwarding/vm_rows.py
@@ -0,0 +1,69 @@
+"""The routers' own rows on the platform: the secret of the links, and the VMs."""
+
+import asyncio
+import random
+import secrets
+
+import cbor2
+
+from endivelug.exceptions import TableOutcomeUnknown, TableUnavailable
+from endivelug.forwarding.cluster_view import LogLine
+from endivelug.forwarding.row_store import RowPage, RowStore, RowWrite
+
+RETRY_S = 0.5
+SECRET_KEY = "link-secret"
+SECRET_BYTES = 32
+VM_PREFIX = "vm/"
+
+
+class VmRows:
+    """Reads and writes the rows; every call waits until the store answers."""
+
+    def __init__(
+        self, *, store: RowStore, table: str, rng: random.Random, log: LogLine
+    ) -> None:
+        self.store = store
+        self.table = table
+        self.rng = rng
+        self.log = log
+
+    async def secret(self) -> bytes:
+        """Return the secret of the links, made by the first VM."""
+        while True:
+            try:
+                page = await self._read(SECRET_KEY, SECRET_KEY + "!")
+                if page.rows:
+                    return page.rows[0].value
+                await self.store.write([self._new_secret()])
+            except (TableUnavailable, TableOutcomeUnknown) as error:
+                await self._wait(error)
+
+    async def register(self, vm: str, address: str) -> dict[str, str]:
+        """Write the address of this VM; return the addresses of all, by VM."""
+        own = RowWrite(table=self.table, key=VM_PREFIX + vm, value=cbor2.dumps(address))
+        while True:
+            try:
+                await self.store.write([own])
+                page = await self._read(VM_PREFIX, VM_PREFIX + "\x7f")
+            except (TableUnavailable, TableOutcomeUnknown) as error:
+                await self._wait(error)
+                continue
+            return {
+                row.key.removeprefix(VM_PREFIX): cbor2.loads(row.value)
+                for row in page.rows
+            }
+
+    async def _read(self, first: str, last: str) -> RowPage:
+        return await self.store.read(self.table, first=first, last=last)
+
+    def _new_secret(self) -> RowWrite:
+        return RowWrite(
+            table=self.table,
+            key=SECRET_KEY,
+            value=secrets.token_bytes(SECRET_BYTES),
+            expected_version=0,
+        )
+
+    async def _wait(self, error: Exception) -> None:
+        self.log("join-delayed", reason=str(error))
+        await asyncio.sleep(RETRY_S * self.rng.uniform(0.5, 1.0))
--- a/tests/test_forwarding_path.py
+++ b/tests/test_forwarding_path.py
@@ -436,3 +436,21 @@
                 await server.close()
 
     asyncio.run(run())
+
+
+# Guards against a background job that fails once and leaves the VM with an old state.
+def test_a_background_job_that_fails_starts_again(monkeypatch):
+    monkeypatch.setattr("endivelug.forwarding.node.RESTART_S", 0.01)
+    runs = []
+
+    async def job():
+        runs.append(len(runs))
+        if len(runs) < 3:
+            raise ValueError("a fault")
+
+    async def use(system):
+        await system.node._supervise(job)
+        assert runs == [0, 1, 2]
+        assert system.log.events().count("job-failed") == 2
+
+    play(use)
