Add the fault soak and the measurement of relays

The soak runs router processes on loopback and injects faults from outside; its checks have tests of their own that show each broken promise is found.

--- /dev/null
+++ b/measurements/relays.py
@@ -0,0 +1,150 @@
+"""Messages and processor time of the links between routers, with and without relays."""
+
+import asyncio
+import random
+import socket
+import time
+from collections.abc import Iterator
+from typing import Any
+from unittest.mock import patch
+
+from endivelug.forwarding import overlay
+from endivelug.forwarding.cluster_view import ClusterView
+from endivelug.forwarding.engine_load import Work
+from endivelug.forwarding.overlay import ListedVm
+from endivelug.forwarding.peer_messages import MarkKind
+from endivelug.forwarding.peers import Peers
+from endivelug.forwarding.refused_callers import RefusedCallers
+from endivelug.forwarding.retry_budget import SharedRetryBudget
+from endivelug.links import Identity
+from endivelug.platform.records import PlatformRecords
+
+DATA_CENTRES = 4
+ROUTERS = 24
+ENGINES = 30
+REQUESTS_PER_S = 6.0
+WARM_S = 3.0
+MEASURED_S = 5.0
+ALL_RELAYS = 1000
+
+
+def _free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+def _router(number: int, data_centre: str, rng: random.Random) -> Peers:
+    def log(event: str, **fields: Any) -> None:
+        pass
+
+    clock = time.monotonic
+    return Peers(
+        identity=Identity(
+            vm=f"vm{number:03}",
+            data_centre=data_centre,
+            role="router",
+            incarnation=1,
+            secret=b"secret",
+        ),
+        view=ClusterView(records=PlatformRecords(), clock=clock, log=log),
+        budget=SharedRetryBudget(ratio=0.2, slack=50.0, window_s=10.0),
+        refused=RefusedCallers(),
+        lease_left_s=lambda: 0.0,
+        ordered=lambda: [],
+        store_connected=lambda: True,
+        clock=clock,
+        rng=rng,
+        log=log,
+    )
+
+
+async def _load(router: Peers, rng: random.Random) -> None:
+    """Begin and end requests as the forwarder does."""
+    running: list[tuple[str, str]] = []
+    number = 0
+    while True:
+        await asyncio.sleep(rng.expovariate(REQUESTS_PER_S))
+        number += 1
+        engine, request = f"e{rng.randrange(ENGINES)}", f"q{number}"
+        work = Work(request=request, sent_at=time.monotonic(), missing_tokens=400)
+        router.view.loads.begin(engine, work)
+        running.append((engine, request))
+        if len(running) > REQUESTS_PER_S / 2:
+            router.view.loads.end(*running.pop(0))
+
+
+async def _spread_s(routers: list[Peers], name: str) -> float:
+    """Return how long a mark of a member takes to reach every router."""
+    teller, begin = routers[-1], time.monotonic()
+    teller.mark(name, MarkKind.AVOID, 2.0)
+    others = routers[:-1]
+    while not all(item.view.loads.of(name).avoid_until for item in others):
+        await asyncio.sleep(0.002)
+    return time.monotonic() - begin
+
+
+async def _play(seed: int, relays: int) -> dict[str, Any]:
+    rng = random.Random(seed)
+    with patch.object(overlay, "RELAYS", relays):
+        routers, listed = [], []
+        for number in range(ROUTERS):
+            router = _router(number, f"dc{number % DATA_CENTRES}", rng)
+            port = _free_port()
+            await router.listen(host="127.0.0.1", port=port)
+            routers.append(router)
+            listed.append(
+                ListedVm(
+                    name=router.identity.vm,
+                    address=f"127.0.0.1:{port}",
+                    data_centre=router.identity.data_centre,
+                    joined=number,
+                )
+            )
+        for router in routers:
+            router.list_vms(listed)
+        jobs = [asyncio.create_task(router.run()) for router in routers]
+        jobs += [asyncio.create_task(_load(router, rng)) for router in routers]
+        await asyncio.sleep(WARM_S)
+        before = [_sent(router) for router in routers]
+        cpu = time.process_time()
+        await asyncio.sleep(MEASURED_S)
+        cpu = time.process_time() - cpu
+        sent = [
+            _sent(router) - count for router, count in zip(routers, before, strict=True)
+        ]
+        spread = [await _spread_s(routers, f"x{turn}") for turn in range(10)]
+        heard = [router.vms for router in routers]
+        for job in jobs:
+            job.cancel()
+        await asyncio.gather(*jobs, return_exceptions=True)
+        await asyncio.gather(*(router.close() for router in routers))
+    return {
+        "relays_a_data_centre": relays,
+        "messages_s": round(sum(sent) / MEASURED_S, 1),
+        "messages_s_busiest": round(max(sent) / MEASURED_S, 1),
+        "us_a_message": round(1e6 * cpu / max(1, sum(sent)), 1),
+        "spread_ms_max": round(1000 * max(spread), 1),
+        "all_heard": min(heard) == ROUTERS,
+    }
+
+
+def _sent(router: Peers) -> int:
+    return sum(link.sent for link in router.links.values())
+
+
+def measure(*, seed: int) -> Iterator[dict[str, Any]]:
+    """Yield a line with relays, one with links between all, and the summary."""
+    relayed = asyncio.run(_play(seed, overlay.RELAYS))
+    yield relayed
+    meshed = asyncio.run(_play(seed, ALL_RELAYS))
+    yield meshed
+    yield {
+        "summary": True,
+        "routers": ROUTERS,
+        "messages_ratio": round(relayed["messages_s"] / meshed["messages_s"], 3),
+        "busiest_messages_s": relayed["messages_s_busiest"],
+        "us_a_message": relayed["us_a_message"],
+        "spread_ms_max": relayed["spread_ms_max"],
+        "all_heard": relayed["all_heard"] and meshed["all_heard"],
+    }
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak: real router processes, faults from outside, promises checked."""
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,199 @@
+"""Callers that keep connections open and note what came back for each request."""
+
+import asyncio
+import contextlib
+import random
+import time
+from dataclasses import dataclass, field
+
+import h11
+
+from .routers import Router
+
+KINDS = ("review", "order", "look")
+TARGETS = {"review": "/a/x", "order": "/a/orders/x", "look": "/look/x"}
+DEADLINE_S = {"review": 6.0, "order": 1.0, "look": 1.0}
+CONNECT_S = 1.0
+PROBE_S = 0.5
+# Requests on one connection before the caller opens another one.
+KEPT_REQUESTS = 20
+PAUSE_S = 0.08
+
+
+@dataclass(slots=True, kw_only=True)
+class Outcome:
+    """One request as its caller saw it.
+
+    Attributes
+    ----------
+    status : int
+        0 where no answer began.
+    complete : bool
+        Whether the answer was whole.
+    """
+
+    request: str
+    kind: str
+    key: str
+    router: str
+    sent_at: float
+    ended_at: float = 0.0
+    status: int = 0
+    complete: bool = False
+    body: bytes = b""
+    connected: bool = True
+    stopping: bool = False
+
+    @property
+    def served(self) -> bool:
+        return self.status == 200 and self.complete
+
+
+@dataclass(slots=True, kw_only=True)
+class _Connection:
+    router: Router
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    parser: h11.Connection
+    used: int = 0
+
+
+@dataclass(slots=True, kw_only=True)
+class Callers:
+    """Callers, and the balancer that chooses a router for each connection."""
+
+    routers: list[Router]
+    rng: random.Random
+    keys: tuple[str, ...]
+    outcomes: list[Outcome] = field(default_factory=list)
+    misses: dict[str, int] = field(default_factory=dict)
+
+    async def balance(self) -> None:
+        """Ask every router again and again whether it is ready."""
+        while True:
+            await asyncio.gather(*(self._probe(router) for router in self.routers))
+            await asyncio.sleep(PROBE_S)
+
+    async def run(self, until: float) -> None:
+        """Send requests one after the other until a time."""
+        connection: _Connection | None = None
+        while time.monotonic() < until:
+            await asyncio.sleep(self.rng.expovariate(1 / PAUSE_S))
+            if connection is not None and connection.used >= KEPT_REQUESTS:
+                connection.writer.close()
+                connection = None
+            connection = await self._ask(connection)
+        if connection is not None:
+            connection.writer.close()
+
+    async def _probe(self, router: Router) -> None:
+        host, _, port = router.ready_address.rpartition(":")
+        writer = None
+        try:
+            async with asyncio.timeout(0.4):
+                reader, writer = await asyncio.open_connection(host, int(port))
+                writer.write(b"GET /readyz HTTP/1.1\r\nHost: h\r\n\r\n")
+                ready = b" 200 " in await reader.readline()
+        except (OSError, TimeoutError):
+            ready = False
+        finally:
+            if writer is not None:
+                writer.close()
+        misses = 0 if ready else self.misses.get(router.name, 2) + 1
+        self.misses[router.name] = misses
+        router.ready = misses < 2
+
+    async def _ask(self, connection: _Connection | None) -> _Connection | None:
+        kind = self.rng.choice(KINDS)
+        ready = [router for router in self.routers if router.ready] or self.routers
+        router = connection.router if connection else self.rng.choice(ready)
+        outcome = Outcome(
+            request=f"{self.rng.randrange(1 << 64):016x}",
+            kind=kind,
+            key=self.rng.choice(self.keys),
+            router=router.name,
+            sent_at=time.monotonic(),
+        )
+        self.outcomes.append(outcome)
+        try:
+            async with asyncio.timeout(DEADLINE_S[kind] + 1.0):
+                if connection is None:
+                    connection = await self._connect(router, outcome)
+                if connection is not None:
+                    await self._exchange(connection, outcome)
+        except (OSError, TimeoutError, h11.RemoteProtocolError):
+            pass
+        outcome.ended_at = time.monotonic()
+        outcome.stopping = router.stopping
+        return self._keep(connection, outcome)
+
+    def _keep(
+        self, connection: _Connection | None, outcome: Outcome
+    ) -> _Connection | None:
+        if connection is None:
+            return None
+        parser = connection.parser
+        if outcome.complete and parser.our_state is h11.DONE:
+            with contextlib.suppress(h11.LocalProtocolError):
+                parser.start_next_cycle()
+                connection.used += 1
+                return connection
+        connection.writer.close()
+        return None
+
+    async def _connect(self, router: Router, outcome: Outcome) -> _Connection | None:
+        host, _, port = router.front.rpartition(":")
+        try:
+            async with asyncio.timeout(CONNECT_S):
+                reader, writer = await asyncio.open_connection(host, int(port))
+        except (OSError, TimeoutError):
+            outcome.connected = False
+            return None
+        return _Connection(
+            router=router,
+            reader=reader,
+            writer=writer,
+            parser=h11.Connection(our_role=h11.CLIENT),
+        )
+
+    async def _exchange(self, connection: _Connection, outcome: Outcome) -> None:
+        parser, writer = connection.parser, connection.writer
+        outcome.sent_at = time.monotonic()
+        request = h11.Request(
+            method="GET" if outcome.kind == "look" else "POST",
+            target=TARGETS[outcome.kind],
+            headers=_headers(outcome),
+        )
+        writer.write(parser.send(request) or b"")
+        writer.write(parser.send(h11.EndOfMessage()) or b"")
+        while True:
+            event = parser.next_event()
+            if event is h11.NEED_DATA:
+                parser.receive_data(await connection.reader.read(65536))
+            elif isinstance(event, h11.Response):
+                outcome.status = event.status_code
+            elif isinstance(event, h11.Data):
+                outcome.body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                outcome.complete = True
+                return
+            elif isinstance(event, h11.ConnectionClosed):
+                return
+
+
+def _headers(outcome: Outcome) -> list[tuple[str, str]]:
+    headers = [
+        ("Host", "h.example"),
+        ("Content-Length", "0"),
+        ("X-Request-Id", outcome.request),
+        ("X-Deadline-Ms", str(int(1000 * DEADLINE_S[outcome.kind]))),
+        ("X-Credential", outcome.key),
+    ]
+    if outcome.kind == "review":
+        parts = f"aa:1200,{outcome.request[:8]}:300"
+        headers += [
+            ("X-Model", "m"),
+            ("X-Token-Usage", "1500,30"),
+            ("X-Prompt-Prefix", parts),
+        ]
+    return headers
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,138 @@
+"""A short soak with a fixed seed, and the checks of the soak themselves."""
+
+import asyncio
+import logging
+
+import pytest
+
+from soak.__main__ import soak
+from soak.callers import Outcome
+from soak.promises import Calm, Grant, Promises
+from soak.upstreams import Record, Run
+
+# A seed that ever broke a promise belongs to these, with a line on the cause.
+SEEDS = (1,)
+SECONDS = 8.0
+
+
+def make_outcome(**changes):
+    values = {
+        "request": "q1",
+        "kind": "order",
+        "key": "k1",
+        "router": "vm0",
+        "sent_at": 50.0,
+        "ended_at": 50.2,
+        "status": 200,
+        "complete": True,
+        "body": b"q1",
+    }
+    return Outcome(**{**values, **changes})
+
+
+def make_run(**changes):
+    values = {
+        "request": "q1",
+        "instance": "i1",
+        "at": 50.1,
+        "organisation": "org1",
+        "namespace": None,
+        "weights": None,
+        "resumed": False,
+    }
+    return Run(**{**values, **changes})
+
+
+def check(*outcomes, runs=(), **changes):
+    record = changes.pop("record", None) or Record()
+    for run in runs:
+        record.runs.setdefault(run.request, []).append(run)
+    values = {
+        "outcomes": list(outcomes),
+        "record": record,
+        "calm": Calm(),
+        "grants": [],
+        "organisations": {"k1": "org1", "k2": "org2", "k3": "org3"},
+        "isolated": {"org1"},
+    }
+    return Promises(**{**values, **changes}).violations()
+
+
+# Guards against routers that break a promise on real connections under faults.
+@pytest.mark.parametrize("seed", SEEDS)
+def test_no_promise_is_broken_under_faults(seed, tmp_path):
+    logging.getLogger("tornado").setLevel(logging.CRITICAL)
+    result = asyncio.run(soak(seed=seed, seconds=SECONDS, routers=3, folder=tmp_path))
+    assert result.requests > 100
+    assert result.violations == []
+    assert result.unexpected_exits == []
+
+
+STREAM = "".join(f"id: {n}\ndata: q1-{n}\n\n" for n in range(1, 13)).encode()
+
+
+# Guards against a soak that passes whatever happens.
+@pytest.mark.parametrize(
+    ("outcome", "runs", "expected"),
+    [
+        ({}, [{}, {}], "ran twice"),
+        ({"status": 503}, [{}], "refused as not run, but ran"),
+        ({"body": b"q2"}, [{}], "mixed"),
+        ({}, [{"organisation": "org2"}], "wrong organisation"),
+        ({}, [{}, {"request": "q9"}], "unasked"),
+        (
+            {"kind": "review", "body": STREAM[:-30]},
+            [{}],
+            "incomplete stream looks complete",
+        ),
+        ({"kind": "review", "body": STREAM[20:]}, [{}], "order of events"),
+        (
+            {"status": 0, "complete": False, "stopping": True},
+            [{}],
+            "cut by a planned stop",
+        ),
+    ],
+)
+def test_a_broken_promise_is_found(outcome, runs, expected):
+    assert check(make_outcome()) == []
+    made = [make_run(**run) for run in runs]
+    found = check(make_outcome(**outcome), runs=made)
+    assert any(line.startswith(expected) for line in found), found
+
+
+# Guards against caches that cross weights or isolated organisations unseen.
+def test_shared_namespaces_are_found():
+    outcomes = [
+        make_outcome(request=name, kind="review", body=b"", complete=False)
+        for name in ("q1", "q2")
+    ]
+    one = make_run(namespace="n", weights=1)
+    other = make_run(request="q2", namespace="n", weights=2)
+    assert any(
+        line.startswith("one namespace") for line in check(*outcomes, runs=[one, other])
+    )
+    outcomes[1].key = "k2"
+    other = make_run(request="q2", namespace="n", weights=1, organisation="org2")
+    found = check(*outcomes, runs=[one, other])
+    assert any(line.startswith("isolated") for line in found)
+
+
+# Guards against a revoked key that is accepted unseen, and against blame for a VM that
+# was cut off.
+def test_an_accepted_revoked_key_is_found_where_the_vm_was_calm():
+    grant = Grant(key="k3", allowed=False, begins_at=40.0)
+    outcome = make_outcome(key="k3")
+    run = make_run(organisation="org3")
+    found = check(outcome, runs=[run], grants=[grant])
+    assert any(line.startswith("allowed although revoked") for line in found)
+    calm = Calm()
+    calm.add("vm0", 39.0, 49.0)
+    assert check(outcome, runs=[run], grants=[grant], calm=calm) == []
+
+
+# Guards against a storm of retries unseen.
+def test_an_exceeded_retry_budget_is_found():
+    record = Record()
+    record.arrivals = [(50.0 + n / 100, "desk", "q1") for n in range(60)]
+    found = check(make_outcome(), runs=[make_run()], record=record)
+    assert any(line.startswith("retry budget") for line in found)
