--- a/src/endivelug/forwarding/cache_store_watch.py
+++ b/src/endivelug/forwarding/cache_store_watch.py
@@ -1,6 +1,6 @@
-"""Notices when the store of kept KV cache is gone, and when it is back empty.
+"""Notices when a store of kept KV cache is gone, and when it is back empty.
 
-Load pattern: the store fails while long prompts are copied from it. Each copy from a
+Load pattern: a store fails while long prompts are copied from it. Each copy from a
 dead store costs some hundred milliseconds, so requests stop to name it within a second.
 """
 
@@ -19,14 +19,14 @@
 
 
 class CacheStoreWatch:
-    """Connects to the store regularly.
+    """Connects to the stores regularly.
 
     Parameters
     ----------
     is_needed : callable
         Whether this VM checks; the others hear of it.
     on_avoid : callable
-        Called with the address of the store and the seconds for which peers avoid it.
+        Called with the address of a store and the seconds for which peers avoid it.
     """
 
     def __init__(
@@ -47,14 +47,15 @@
         self.clock = clock
         self.rng = rng
         self.log = log
-        self.gone = False
+        self.gone: set[str] = set()
 
     async def run(self) -> None:
         """Check until cancelled."""
         while True:
             await asyncio.sleep(CHECK_S * self.rng.uniform(0.8, 1.0))
-            store = self.view.cache_store()
-            if store is not None and self.is_needed():
+            if not self.is_needed():
+                continue
+            for store in self.view.cache_stores():
                 await self.check(store.address)
 
     async def check(self, address: str) -> None:
@@ -62,13 +63,13 @@
         try:
             connection = await self.pool.acquire(address, timeout_s=CONNECT_S)
         except UpstreamUnreachable as error:
-            if not self.gone:
+            if address not in self.gone:
                 self.log("cache-store-gone", address=address, reason=str(error))
-            self.gone = True
-            self.view.avoid_cache_store(self.clock() + GONE_MARK_S)
+            self.gone.add(address)
+            self.view.avoid_cache_store(address, self.clock() + GONE_MARK_S)
             self.on_avoid(address, GONE_MARK_S)
             return
         self.pool.release(address, connection, idle_s=None)
-        if self.gone:
-            self.gone = False
+        if address in self.gone:
+            self.gone.discard(address)
             self.log("cache-store-back", address=address)
--- a/src/endivelug/forwarding/cluster_view.py
+++ b/src/endivelug/forwarding/cluster_view.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from endivelug import _rendezvous
 from endivelug.forwarding.engine_load import InstanceLoads
 from endivelug.forwarding.instances import Instance, InstanceRegistry
 from endivelug.forwarding.prompt_cache import PromptCaches
@@ -135,7 +136,7 @@
         self.highest: dict[str, int] = dict.fromkeys(records.tables, 0)
         self.read_tables: set[str] = set()
         self.unknown_age_s = unknown_age_s
-        self.store_gone_until = 0.0
+        self.store_gone_until: dict[str, float] = {}
 
     @property
     def complete(self) -> bool:
@@ -248,23 +249,33 @@
             known_at = self.clock() - age_s
             wanted.add(version, NamedVersion(known_at=known_at, live=True))
 
-    def cache_store(self) -> CacheStore | None:
-        """Return the store of kept KV cache, or None."""
-        stores = self.configuration.cache_stores if self.configuration else []
-        return stores[0] if stores else None
+    def cache_stores(self) -> list[CacheStore]:
+        """Return the stores of kept KV cache."""
+        return self.configuration.cache_stores if self.configuration else []
 
-    def usable_cache_store(self) -> CacheStore | None:
-        """Return the store of kept KV cache unless it is gone."""
-        return self.cache_store() if self.clock() >= self.store_gone_until else None
+    def cache_store_of(self, part: str) -> CacheStore | None:
+        """Return the store that keeps a shared part and what follows it, or None.
 
-    def avoid_cache_store(self, until: float) -> None:
-        """Note that the store of kept KV cache is gone; it comes back empty."""
-        store = self.cache_store()
-        if store is None:
-            return
-        if self.clock() >= self.store_gone_until:
-            self.caches.clear(store.address)
-        self.store_gone_until = max(self.store_gone_until, until)
+        All routers choose the same one, and the parts spread over the links of all
+        stores; those of a store that is gone go to the others.
+        """
+        now = self.clock()
+        usable = {
+            store.address: store
+            for store in self.cache_stores()
+            if now >= self.store_gone_until.get(store.address, 0.0)
+        }
+        if len(usable) == 1:
+            return next(iter(usable.values()))
+        address = _rendezvous.owner(f"store:{part}", usable)
+        return usable[address] if address is not None else None
+
+    def avoid_cache_store(self, address: str, until: float) -> None:
+        """Note that a store of kept KV cache is gone; it comes back empty."""
+        gone_until = self.store_gone_until.get(address, 0.0)
+        if self.clock() >= gone_until:
+            self.caches.clear(address)
+        self.store_gone_until[address] = max(gone_until, until)
 
     def _apply(self, record: Record, row: StoredRow, source: str) -> None:
         match record:
--- a/src/endivelug/forwarding/node.py
+++ b/src/endivelug/forwarding/node.py
@@ -8,7 +8,6 @@
 from typing import Any
 
 from endivelug.busiest import BusiestOrganisations
-from endivelug.exceptions import TableUnavailable
 from endivelug.forwarding.adapter import Platform
 from endivelug.forwarding.attempt import AttemptRunner
 from endivelug.forwarding.cache_notes import CacheNotes
@@ -27,13 +26,13 @@
 from endivelug.forwarding.peer_messages import MarkKind
 from endivelug.forwarding.peers import Peers
 from endivelug.forwarding.placing import OLD_WEIGHTS_MARGIN_S, Placement, Placer
-from endivelug.forwarding.prompt_cache import PromptPart
 from endivelug.forwarding.refused_callers import RefusedCallers
 from endivelug.forwarding.retry_budget import SharedRetryBudget
 from endivelug.forwarding.silence_watch import SilenceWatch
 from endivelug.forwarding.state_sync import StateSync
 from endivelug.forwarding.stream_recovery import StreamRecovery
 from endivelug.forwarding.upstream_connection import Headers
+from endivelug.forwarding.vm_join import VmJoin
 from endivelug.forwarding.vm_rows import VmRows
 from endivelug.lease_keeper import LeaseKeeper, boot_clock
 from endivelug.leases import Lease
@@ -53,8 +52,6 @@
 # The next candidate for the lease tries this much later.
 CANDIDATE_STEP_S = 0.6
 SWEEP_S = 1.0
-# How often the VMs that follow the store read which VMs there are.
-REFRESH_S = 20.0
 # A background job that failed starts again after this time.
 RESTART_S = 0.5
 METRICS_PORT = 9464
@@ -115,12 +112,6 @@
         self.sync = StateSync(
             store=self.platform.store, view=self.view, rng=rng, log=log
         )
-        self.vm_rows = VmRows(
-            store=self.platform.store,
-            table=self.platform.own_table,
-            rng=rng,
-            log=log,
-        )
         self.lease = Lease(
             data_centre="all",
             vm=settings.vm,
@@ -129,13 +120,12 @@
             # Engines that check the fencing number refuse a late order by themselves.
             order_timeout_s=0.0 if settings.checks_fencing else settings.lease_s,
         )
-        self.peers: Peers | None = None
         self.orders = OrderGiver(
             view=self.view,
             control=self.platform.engines,
             lease=self.lease,
             holder=settings.vm,
-            announce=self._announce,
+            announce=lambda: self.peers.announce(),
             clock=self.clock,
             lease_clock=boot_clock,
             checks_fencing=settings.checks_fencing,
@@ -143,6 +133,24 @@
             rng=rng,
             log=log,
         )
+        self.refused = RefusedCallers()
+        self.peers = self._make_peers()
+        self.join = VmJoin(
+            peers=self.peers,
+            rows=VmRows(
+                store=self.platform.store,
+                table=self.platform.own_table,
+                rng=rng,
+                log=log,
+            ),
+            host=settings.ip,
+            port=settings.link_port,
+            rng=rng,
+            log=log,
+        )
+        self.orders.ordered_by_peer_at = self.peers.ordered_by_peer_at
+        self.view.on_weights = self.peers.saw_weights
+        self.sync.needed = self.peers.follows_store
         self.keeper = LeaseKeeper(
             table=self.platform.lease_rows,
             lease=self.lease,
@@ -150,7 +158,7 @@
             is_candidate=self._is_candidate,
             rng=rng,
         )
-        self.notes = CacheNotes(view=self.view, tell=self._tell_parts, clock=self.clock)
+        self.notes = CacheNotes(view=self.view, tell=self.peers.hold, clock=self.clock)
         self.silence = SilenceWatch(
             view=self.view,
             placer=self.placer,
@@ -163,13 +171,12 @@
         self.cache_store_watch = CacheStoreWatch(
             view=self.view,
             pool=self.pool,
-            is_needed=self._follows_store,
+            is_needed=self.peers.follows_store,
             on_avoid=self._store_gone,
             clock=self.clock,
             rng=rng,
             log=log,
         )
-        self.refused = RefusedCallers()
         self.forwarder = self._make_forwarder()
         self.front = FrontServer(handler=self.forwarder.handle)
         self.ready = FrontServer(handler=self._answer_ready)
@@ -178,6 +185,27 @@
         self.lonely_since = self.clock()
         self._tasks: list[asyncio.Task[None]] = []
 
+    def _make_peers(self) -> Peers:
+        return Peers(
+            identity=Identity(
+                vm=self.settings.vm,
+                data_centre=self.settings.data_centre,
+                role="router",
+                incarnation=time.time_ns() // 1000,
+                # The secret of the links is read when the VM joins.
+                secret=b"",
+            ),
+            view=self.view,
+            budget=self.budget,
+            refused=self.refused,
+            lease_left_s=lambda: self.lease.remaining_s(boot_clock()),
+            ordered=self.orders.ordered,
+            store_connected=lambda: self.sync.connected,
+            clock=self.clock,
+            rng=self.rng,
+            log=self.log,
+        )
+
     def _make_forwarder(self) -> Forwarder:
         runner = AttemptRunner(
             wire=self.platform.wire,
@@ -220,8 +248,8 @@
         self.log("started", data_centre=self.settings.data_centre)
         for job in (
             self.sync.run,
-            self._join,
-            self._refresh_vms,
+            self.join.run,
+            self.join.refresh,
             self.dispatcher.run,
             self.orders.run,
             self.keeper.run,
@@ -256,58 +284,6 @@
         # Everything that may change at run time comes from the platform's tables.
         self.log("reloaded", changed=0)
 
-    async def _join(self) -> None:
-        """Make this VM known, link to the others and report to them."""
-        if self.peers is None:
-            self.peers = await self._make_peers()
-        await self.peers.run()
-
-    async def _refresh_vms(self) -> None:
-        """Learn of VMs that joined later, as far as the role needs them."""
-        while True:
-            await asyncio.sleep(REFRESH_S * self.rng.uniform(0.8, 1.2))
-            if self.peers is None or not self.peers.follows_store():
-                continue
-            try:
-                self.peers.list_vms(await self.vm_rows.list_vms())
-            except TableUnavailable as error:
-                self.log("vm-list-failed", reason=str(error))
-
-    async def _make_peers(self) -> Peers:
-        rows = self.vm_rows
-        secret = await rows.secret()
-        peers = Peers(
-            identity=Identity(
-                vm=self.settings.vm,
-                data_centre=self.settings.data_centre,
-                role="router",
-                incarnation=time.time_ns() // 1000,
-                secret=secret,
-            ),
-            view=self.view,
-            budget=self.budget,
-            refused=self.refused,
-            lease_left_s=lambda: self.lease.remaining_s(boot_clock()),
-            ordered=self.orders.ordered,
-            store_connected=lambda: self.sync.connected,
-            clock=self.clock,
-            rng=self.rng,
-            log=self.log,
-        )
-        await peers.listen(host=self.settings.ip, port=self.settings.link_port)
-        self.orders.ordered_by_peer_at = peers.ordered_by_peer_at
-        self.view.on_weights = peers.saw_weights
-        address = f"{self.settings.ip}:{self.settings.link_port}"
-        peers.list_vms(
-            await rows.register(
-                self.settings.vm,
-                address=address,
-                data_centre=self.settings.data_centre,
-            )
-        )
-        self.sync.needed = peers.follows_store
-        return peers
-
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_S)
@@ -317,10 +293,9 @@
 
     def _share(self) -> None:
         """Divide what all VMs share by the number of those that live."""
-        if self.peers is not None:
-            # VMs that are cut off still use their share of the budget.
-            self.budget.vms = self.peers.most_vms
-            self.placer.vms = self.peers.vms
+        # VMs that are cut off still use their share of the budget.
+        self.budget.vms = self.peers.most_vms
+        self.placer.vms = self.peers.vms
 
     def _is_candidate(self) -> bool:
         """Return whether this VM should try to take the lease of orders.
@@ -328,7 +303,7 @@
         Only relays hear each other. The first one by name tries at once, the next ones
         later.
         """
-        if self.stopping or not self.view.complete or self.peers is None:
+        if self.stopping or not self.view.complete or not self.join.joined:
             return False
         now = self.clock()
         if not self.peers.overlay.is_relay or self.peers.lease_heard():
@@ -336,31 +311,14 @@
             return False
         return now - self.lonely_since > CANDIDATE_STEP_S * self.peers.overlay.rank()
 
-    def _follows_store(self) -> bool:
-        return self.peers is not None and self.peers.follows_store()
-
-    def _tell_parts(
-        self, holder: str, namespace: str, parts: list[PromptPart], reading_s: float
-    ) -> None:
-        if self.peers is not None:
-            self.peers.hold(holder, namespace, parts, reading_s=reading_s)
-
-    def _announce(self) -> None:
-        if self.peers is not None:
-            self.peers.announce()
-
     def _avoided(self, instance: str, for_s: float) -> None:
-        self._mark(instance, MarkKind.AVOID, for_s)
+        self.peers.mark(instance, MarkKind.AVOID, for_s)
 
     def _refused(self, digest: str, for_s: float) -> None:
-        self._mark(digest, MarkKind.REFUSED, for_s)
+        self.peers.mark(digest, MarkKind.REFUSED, for_s)
 
     def _store_gone(self, address: str, for_s: float) -> None:
-        self._mark(address, MarkKind.STORE_GONE, for_s)
-
-    def _mark(self, name: str, kind: str, for_s: float) -> None:
-        if self.peers is not None:
-            self.peers.mark(name, kind, for_s)
+        self.peers.mark(address, MarkKind.STORE_GONE, for_s)
 
     def _started(self, call: Call, placement: Placement) -> None:
         """Note the first byte of an answer and the parts that are now cached."""
@@ -397,7 +355,7 @@
         values = {
             "store_connected": float(self.sync.connected),
             "ready": float(self.is_ready),
-            "peers": float(self.peers.vms - 1 if self.peers else 0),
+            "peers": float(self.peers.vms - 1),
             "in_progress": float(len(self.front.tasks)),
             "waiting": float(len(self.dispatcher.waiters)),
             "configuration_version": float(configuration.version)
@@ -431,8 +389,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        if self.peers is not None:
-            await self.peers.close()
+        await self.peers.close()
         await self.orders.close()
         await self.front.close()
         await self.ready.close()
--- a/src/endivelug/forwarding/peer_reports.py
+++ b/src/endivelug/forwarding/peer_reports.py
@@ -89,7 +89,7 @@
                     if now - load.last_answer_at > CONTRADICTED_S:
                         load.avoid_until = max(load.avoid_until, until)
                 case MarkKind.STORE_GONE:
-                    self.view.avoid_cache_store(until)
+                    self.view.avoid_cache_store(mark.name, until)
                 case MarkKind.REFUSED:
                     self.refused.refused(mark.name, back_at=until, now=now)
 
--- a/src/endivelug/forwarding/peers.py
+++ b/src/endivelug/forwarding/peers.py
@@ -169,7 +169,6 @@
         holder: str,
         namespace: str,
         parts: list[PromptPart],
-        *,
         reading_s: float = 0.0,
     ) -> None:
         """Tell the peers which parts a holder keeps, reads or stopped reading."""
--- a/src/endivelug/forwarding/placing.py
+++ b/src/endivelug/forwarding/placing.py
@@ -271,14 +271,14 @@
         return f"{call.request.model}/{version}/{owner}"
 
     def _save_to(self, call: Call, namespace: str) -> str | None:
-        store = self.view.usable_cache_store()
-        if store is None:
-            return None
         # The last part belongs to one request or session; keeping it is not worth the
         # room that shared parts need.
         shared = call.request.prompt[:-1]
         if sum(part.tokens for part in shared) < SAVE_TOKENS:
             return None
+        store = self.view.cache_store_of(shared[0].part)
+        if store is None:
+            return None
         held = self.view.caches.held_tokens(
             store.address, namespace=namespace, parts=shared
         )
@@ -335,7 +335,7 @@
         if not parts or limits.token_bytes <= 0:
             return sources
         held_tokens = self.view.caches.held_tokens
-        store = self.view.usable_cache_store()
+        store = self.view.cache_store_of(parts[0].part)
         if store is not None:
             if call.request.prompt_tokens >= ALWAYS_FETCH_TOKENS:
                 # A router that has just started does not know what the store holds.
--- /dev/null
+++ b/src/endivelug/forwarding/vm_join.py
@@ -0,0 +1,69 @@
+"""Makes one VM known to the others and keeps its list of VMs up to date."""
+
+import asyncio
+import random
+
+from endivelug.exceptions import TableUnavailable
+from endivelug.forwarding.cluster_view import LogLine
+from endivelug.forwarding.peers import Peers
+from endivelug.forwarding.vm_rows import VmRows
+
+# How often the VMs that follow the store read which VMs there are.
+REFRESH_S = 20.0
+
+
+class VmJoin:
+    """Background jobs of a VM's place among the others.
+
+    Parameters
+    ----------
+    host, port : str, int
+        Where the VM accepts links.
+    """
+
+    def __init__(
+        self,
+        *,
+        peers: Peers,
+        rows: VmRows,
+        host: str,
+        port: int,
+        rng: random.Random,
+        log: LogLine,
+    ) -> None:
+        self.peers = peers
+        self.rows = rows
+        self.host = host
+        self.port = port
+        self.rng = rng
+        self.log = log
+        self.joined = False
+
+    async def run(self) -> None:
+        """Register, link to the others and report to them until cancelled."""
+        if not self.joined:
+            await self._join()
+            self.joined = True
+        await self.peers.run()
+
+    async def refresh(self) -> None:
+        """Learn of VMs that joined later, as far as the role needs them."""
+        while True:
+            await asyncio.sleep(REFRESH_S * self.rng.uniform(0.8, 1.2))
+            if not self.joined or not self.peers.follows_store():
+                continue
+            try:
+                self.peers.list_vms(await self.rows.list_vms())
+            except TableUnavailable as error:
+                self.log("vm-list-failed", reason=str(error))
+
+    async def _join(self) -> None:
+        identity = self.peers.identity
+        identity.secret = await self.rows.secret()
+        await self.peers.listen(host=self.host, port=self.port)
+        listed = await self.rows.register(
+            identity.vm,
+            address=f"{self.host}:{self.port}",
+            data_centre=identity.data_centre,
+        )
+        self.peers.list_vms(listed)
