--- a/tests/test_cluster_view.py
+++ b/tests/test_cluster_view.py
@@ -125,3 +125,17 @@
     view.apply([configuration], source="store")
     view.caches.note("e1", namespace="m/1/", parts=[part])
     assert view.caches.held_tokens("e1", namespace="m/1/", parts=[part]) == 900
+
+
+# Guards against heartbeats of upstreams that are sent on to every VM (load: 34
+# upstreams write their entry every 1.2 s).
+def test_a_heartbeat_is_no_change_for_the_peers():
+    view = make_view(ManualClock())
+    before = view.highest["servers"]
+    beat = stored_row("servers", "e1", registration_document(seq=5), 20)
+    assert not view.apply([beat], source="store")
+    assert view.highest["servers"] == before
+    assert view.rows_after("servers", before) == []
+    draining = stored_row("servers", "e1", registration_document(state="draining"), 21)
+    assert view.apply([draining], source="store")
+    assert [held.changed for held in view.rows_after("servers", before)] == [21]
--- a/tests/test_relayed_reports.py
+++ b/tests/test_relayed_reports.py
@@ -10,6 +10,7 @@
 from endivelug.forwarding.overlay import ListedVm
 from endivelug.forwarding.peers import SILENT_S
 from endivelug.forwarding.prompt_cache import PromptPart
+from endivelug.forwarding.row_store import StoredRow
 from forwarding_builders import configuration_document, stored_row
 from test_forwarding_path import free_port, until
 from test_peers import fill, make_peers
@@ -213,3 +214,46 @@
         assert len(opened) <= len(system.routers)
 
     play(use)
+
+
+# Guards against old keys and routes on the members of a relay that is frozen: its links
+# stay open, but nothing comes.
+def test_members_follow_the_store_while_their_relay_is_frozen():
+    async def use(system):
+        relay = system.relays[0]
+        mine = [
+            item for item in system.members if item.overlay.uplink == relay.identity.vm
+        ]
+        assert mine and not any(item.follows_store() for item in mine)
+        system.jobs[system.routers.index(relay)].cancel()
+        await until(lambda: all(item.follows_store() for item in mine), limit_s=1.5)
+
+    play(use)
+
+
+# Guards against members that drop live instances whose leases lapsed in an outage of
+# the store: they see the removals through a relay that knows better.
+def test_members_take_removals_after_an_outage_as_provisional():
+    async def use(system):
+        relay = system.relays[0]
+        for router in system.routers:
+            fill(router.view, 7)
+        mine = [
+            item for item in system.members if item.overlay.uplink == relay.identity.vm
+        ]
+        relay.store_connected = lambda: False
+        lost = float("inf")
+        await until(
+            lambda: all(item.view.registry.relisting_until == lost for item in mine)
+        )
+        row = StoredRow(table="servers", key="e1", value=b"", version=50, removed=True)
+        relay.view.registry.registry_lost()
+        relay.store_connected = lambda: True
+        relay.view.registry.registry_regained(now=time.monotonic())
+        relay.view.apply([row], source="store")
+        await until(
+            lambda: all(item.view.highest["servers"] >= 50 for item in mine), limit_s=2
+        )
+        assert all(item.view.registry.get("e1") is not None for item in mine)
+
+    play(use)
