Send weights orders where engines do not check fencing numbers

Cause: on such a deployment the time limit of an order was the whole gap between two holders (3 s), more than the lease (1.5 s) can ever have left, so not one order was sent; from the time limit of the first new weights on every engine counted as outdated and half of all requests were refused. Ruled out: sending as if fencing were checked; a frozen or late holder and the next one then order the same engine within the gap (the new tests show it). Change: an order has a short time limit of its own, and the lease is checked again once the engine is connected. The next holder waits for the gap after it has taken the lease, also after a resignation, where engines do not check fencing numbers.

--- a/src/endivelug/forwarding/connection_pool.py
+++ b/src/endivelug/forwarding/connection_pool.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from endivelug.exceptions import UpstreamBroken
+from endivelug.exceptions import UpstreamBroken, UpstreamUnreachable
 from endivelug.forwarding.upstream_connection import (
     BodyData,
     BodyEnd,
@@ -134,19 +134,30 @@
         *,
         timeout_s: float,
         connect_timeout_s: float = 1.0,
+        may_send: Callable[[], bool] | None = None,
     ) -> BufferedResponse:
         """Send a request and return the complete response.
 
+        Parameters
+        ----------
+        may_send : callable or None
+            Called once a connection is open; if it returns False, nothing is sent.
+
         Raises
         ------
         UpstreamUnreachable
-            If no connection was made; nothing was sent.
+            If no connection was made or ``may_send`` returned False; nothing was sent.
         UpstreamBroken
             If the response was lost; the request may have run.
         """
         connection = await self.acquire(
             address, timeout_s=min(timeout_s, connect_timeout_s)
         )
+        if may_send is not None and not may_send():
+            self.release(address, connection, idle_s=None)
+            raise UpstreamUnreachable(
+                f"the request to {address} may no longer be sent; nothing was sent"
+            )
         done = False
         try:
             async with asyncio.timeout(timeout_s):
--- a/src/endivelug/forwarding/node.py
+++ b/src/endivelug/forwarding/node.py
@@ -34,11 +34,13 @@
 from endivelug.forwarding.vm_join import VmJoin
 from endivelug.forwarding.vm_rows import VmRows
 from endivelug.forwarding.weights_order_sender import OrderGiver
+from endivelug.forwarding.weights_rollout import ORDER_TIMEOUT_S
 from endivelug.lease_keeper import LeaseKeeper, boot_clock
 from endivelug.leases import Lease
 from endivelug.links import Identity
 
-# Duration of the order lease; it is renewed three times before it expires.
+# Duration of the order lease; it is renewed three times before it expires. The time
+# left before a renewal exceeds the time limit of an order.
 ORDER_LEASE_S = 1.5
 LEASE_RENEW_S = 0.5
 CLOCK_BOUND_S = 0.1
@@ -59,6 +61,27 @@
 Job = Callable[[], Coroutine[Any, Any, None]]
 
 
+def make_order_lease(*, vm: str, checks_fencing: bool, lease_s: float) -> Lease:
+    """Return the lease under which a VM orders weights.
+
+    Parameters
+    ----------
+    checks_fencing : bool
+        Whether engines reject orders with an old fencing number. If not, the time
+        between two holders keeps their orders apart.
+    lease_s : float
+        Time within which no two VMs may order the same engine.
+    """
+    return Lease(
+        data_centre="all",
+        vm=vm,
+        lease_s=ORDER_LEASE_S,
+        clock_bound_s=CLOCK_BOUND_S,
+        order_timeout_s=0.0 if checks_fencing else ORDER_TIMEOUT_S,
+        handover_gap_s=0.0 if checks_fencing else lease_s + CLOCK_BOUND_S,
+    )
+
+
 class Node:
     """One router process.
 
@@ -111,13 +134,10 @@
         self.sync = StateSync(
             store=self.platform.store, view=self.view, rng=rng, log=log
         )
-        self.lease = Lease(
-            data_centre="all",
+        self.lease = make_order_lease(
             vm=settings.vm,
-            lease_s=ORDER_LEASE_S,
-            clock_bound_s=CLOCK_BOUND_S,
-            # Engines that check the fencing number reject a late order themselves.
-            order_timeout_s=0.0 if settings.checks_fencing else settings.lease_s,
+            checks_fencing=settings.checks_fencing,
+            lease_s=settings.lease_s,
         )
         self.orders = OrderGiver(
             view=self.view,
--- a/src/endivelug/forwarding/weights_order_sender.py
+++ b/src/endivelug/forwarding/weights_order_sender.py
@@ -42,9 +42,17 @@
         """Return the report of an engine."""
 
     async def order_weights(
-        self, instance: Instance, order: WeightsOrder
+        self,
+        instance: Instance,
+        order: WeightsOrder,
+        *,
+        may_send: Callable[[], bool],
     ) -> OrderReply:
-        """Order an engine to load weights."""
+        """Order an engine to load weights.
+
+        Raises ``UpstreamUnreachable`` if ``may_send`` returns False once the engine is
+        connected; it is called immediately before the order is sent.
+        """
 
 
 class OrderGiver:
@@ -220,7 +228,13 @@
             "fencing": order.fencing,
         }
         try:
-            reply = await self.control.order_weights(instance, order)
+            reply = await self.control.order_weights(
+                instance,
+                order,
+                may_send=lambda: (
+                    self.lease.fencing == order.fencing and self.may_send()
+                ),
+            )
         except UpstreamBroken as error:
             # The engine may have accepted it; its report will show that.
             self.log("order-answer-lost", reason=str(error), **fields)
--- a/src/endivelug/forwarding/weights_rollout.py
+++ b/src/endivelug/forwarding/weights_rollout.py
@@ -12,6 +12,8 @@
 # Share of the engines that may load weights at the same time. More would slow each
 # other down, and the remaining engines have to serve all requests.
 MAX_LOADING_SHARE = 0.4
+# Longest time from the sending of an order to its arrival or the end of its connection.
+ORDER_TIMEOUT_S = 0.6
 
 
 class OrderReply(Enum):
--- a/src/endivelug/leases.py
+++ b/src/endivelug/leases.py
@@ -108,6 +108,9 @@
         Upper bound of the drift between the clocks of two hosts during one lease.
     order_timeout_s : float
         Longest time for which an order may be in progress.
+    handover_gap_s : float
+        Shortest time between the orders of one holder and those of the next; 0 where
+        upstreams check fencing numbers.
 
     Attributes
     ----------
@@ -129,12 +132,14 @@
         lease_s: float,
         clock_bound_s: float,
         order_timeout_s: float,
+        handover_gap_s: float = 0.0,
     ) -> None:
         self.key = lease_key(data_centre)
         self.vm = vm
         self.lease_s = lease_s
         self.clock_bound_s = clock_bound_s
         self.order_timeout_s = order_timeout_s
+        self.handover_gap_s = handover_gap_s
         self.held_write: LeaseWrite | None = None
         self.row_value: bytes | None = None
         self.row_changed_at = float("-inf")
@@ -206,11 +211,13 @@
         record = parse_lease(self.row_value) if self.row_value is not None else None
         if self.held_write is not None and self.remaining_s(now) > 0:
             fencing, ready_at = self.fencing, self.held_write.ready_at
-        elif record is None or record.holder == "":
-            # No wait is needed: a holder resigns only after its last order has ended.
-            fencing, ready_at = (record.fencing if record else 0) + 1, now
+        elif record is None:
+            fencing, ready_at = 1, now
+        elif record.holder == "":
+            # A holder resigns only after its last order has ended.
+            fencing, ready_at = record.fencing + 1, now + self.handover_gap_s
         elif now > self.row_changed_at + self.lease_s + self.clock_bound_s:
-            wait_s = self.order_timeout_s + self.clock_bound_s
+            wait_s = max(self.order_timeout_s + self.clock_bound_s, self.handover_gap_s)
             fencing, ready_at = record.fencing + 1, now + wait_s
         else:
             return None
--- a/src/endivelug/platform/engine_calls.py
+++ b/src/endivelug/platform/engine_calls.py
@@ -1,16 +1,21 @@
 """Control calls to an engine: reading its report and ordering new weights."""
 
 import json
+from collections.abc import Callable
 from typing import Any
 
 from endivelug.exceptions import UpstreamBroken
 from endivelug.forwarding.connection_pool import BufferedResponse, ConnectionPool
 from endivelug.forwarding.instances import Instance
 from endivelug.forwarding.upstream_connection import RequestHead
-from endivelug.forwarding.weights_rollout import EngineReport, OrderReply, WeightsOrder
+from endivelug.forwarding.weights_rollout import (
+    ORDER_TIMEOUT_S,
+    EngineReport,
+    OrderReply,
+    WeightsOrder,
+)
 
 REPORT_TIMEOUT_S = 0.7
-ORDER_TIMEOUT_S = 1.0
 
 
 class EngineCalls:
@@ -46,14 +51,18 @@
         )
 
     async def order_weights(
-        self, instance: Instance, order: WeightsOrder
+        self,
+        instance: Instance,
+        order: WeightsOrder,
+        *,
+        may_send: Callable[[], bool],
     ) -> OrderReply:
         """Order an engine to load weights.
 
         Raises
         ------
         UpstreamUnreachable
-            If the order was not sent.
+            If the order was not sent, for example because ``may_send`` returned False.
         UpstreamBroken
             If the response was lost; the engine may still execute the order.
         """
@@ -68,7 +77,9 @@
             "expected": order.expected_orders,
         }
         data = json.dumps(body).encode()
-        response = await self._call(instance, "POST", "/order", data, ORDER_TIMEOUT_S)
+        response = await self._call(
+            instance, "POST", "/order", data, ORDER_TIMEOUT_S, may_send=may_send
+        )
         match response.head.status:
             case 202:
                 return OrderReply.ACCEPTED
@@ -82,7 +93,14 @@
                 return OrderReply.REFUSED
 
     async def _call(
-        self, instance: Instance, method: str, path: str, body: bytes, timeout_s: float
+        self,
+        instance: Instance,
+        method: str,
+        path: str,
+        body: bytes,
+        timeout_s: float,
+        *,
+        may_send: Callable[[], bool] | None = None,
     ) -> BufferedResponse:
         headers = [
             ("Host", instance.address),
@@ -98,6 +116,7 @@
             body,
             timeout_s=timeout_s,
             connect_timeout_s=timeout_s / 2,
+            may_send=may_send,
         )
 
 
--- a/tests/order_spec.py
+++ b/tests/order_spec.py
@@ -4,7 +4,8 @@
 any number of times while its condition holds. If the engine checks fencing numbers,
 an order may arrive at any time after its sender checked the lease; this covers pauses
 of any length between check and sending. If it does not, an order arrives within a
-pause of ``PAUSE`` ticks plus its timeout.
+pause of ``PAUSE`` ticks plus its timeout. With a hand-over gap, the orders of two
+agents that were sent without a pause must arrive at least that many ticks apart.
 """
 
 from typing import NamedTuple
@@ -46,14 +47,18 @@
     engine: int  # highest fencing number that the engine has received
     planned: int  # highest fencing number of a plan
     stale: bool  # an order of an earlier plan ran after a later plan
+    last: tuple  # (sender, ticks since arrival up to the gap) of the last order
+    overlap: bool  # orders of two agents arrived within the gap
 
 
-def make_protocol(*, checks, writes, defect=""):
+def make_protocol(*, checks, writes, defect="", gap=0):
     """Return the protocol of two agents with up to ``writes`` lease writes.
 
-    ``checks`` tells whether the engine checks fencing numbers, and ``defect`` names
-    a defect to add to the protocol, which is correct without one.
+    ``checks`` tells whether the engine checks fencing numbers, ``gap`` is the least
+    number of ticks between orders of two agents, and ``defect`` names a defect to add
+    to the protocol, which is correct without one.
     """
+    kept_gap = 0 if defect == "no gap" else gap
 
     no_write = Write(-1, 0, -1, LEASE, 0)
 
@@ -84,9 +89,12 @@
             held = state.writes[agent.held]
             return Write(index, held.fencing, agent.seen, 0, held.ready)
         if agent.seen == 0 or seen.agent == -1:
-            return Write(index, seen.fencing + 1, agent.seen, 0, 0)
+            resigned = agent.seen and defect != "no gap after resignation"
+            wait = kept_gap if resigned else 0
+            return Write(index, seen.fencing + 1, agent.seen, 0, wait)
         if agent.seen_age >= EXPIRED or defect == "no expiry":
-            return Write(index, seen.fencing + 1, agent.seen, 0, TIMEOUT)
+            wait = max(TIMEOUT, kept_gap)
+            return Write(index, seen.fencing + 1, agent.seen, 0, wait)
         return None
 
     def steps_of(state, index):
@@ -149,8 +157,13 @@
             yield "check and send", with_agent(state._replace(order=order), plan=0)
 
     def deliver_order(state):
-        _, plan, sent, _ = state.order
+        sender, plan, sent, age = state.order
         state = state._replace(order=())
+        # Orders that were sent after a pause are not counted.
+        if gap and age <= TIMEOUT:
+            other = state.last and state.last[0] != sender
+            overlap = state.overlap or bool(other and state.last[1] < gap)
+            state = state._replace(last=(sender, 0), overlap=overlap)
         ignored = defect in ("engine does not check", "number kept")
         if checks and sent < state.engine and not ignored:
             return state
@@ -172,7 +185,10 @@
         order = state.order
         if order and not checks:
             order = (*order[:3], order[3] + 1)
-        return state._replace(writes=aged, agents=agents, order=order)
+        last = state.last
+        if last:
+            last = (last[0], min(last[1] + 1, gap))
+        return state._replace(writes=aged, agents=agents, order=order, last=last)
 
     def normalise(state):
         """Reset fields without effect on later steps, to merge equivalent states."""
@@ -218,10 +234,11 @@
         name=f"orders checks={checks} {defect}",
         candidate=False,
         fields=State._fields,
-        initial=State(0, (no_write,), (Agent(), Agent()), (), 0, 0, False),
+        initial=State(0, (no_write,), (Agent(), Agent()), (), 0, 0, False, (), False),
         transitions=transitions,
         invariants={
             "no stale order runs": lambda state: not state["stale"],
             "at most one order giver": at_most_one_sender,
+            "no overlap": lambda state: not state["overlap"],
         },
     )
--- a/tests/test_order_protocol.py
+++ b/tests/test_order_protocol.py
@@ -13,6 +13,22 @@
     assert all(result["holds"] for result in report["properties"].values())
 
 
+# Guards against orders of two holders within the gap that the platform requires between
+# them, where engines do not check fencing numbers.
+def test_orders_of_two_holders_are_a_gap_apart():
+    protocol = make_protocol(checks=False, writes=3, gap=2)
+    report = check_safety(protocol, max_states=600_000)
+    assert report["exhaustive"], report["incomplete_reason"]
+    assert all(result["holds"] for result in report["properties"].values())
+
+
+@pytest.mark.parametrize("rule", ["no gap", "no gap after resignation"])
+def test_without_the_gap_there_is_a_counterexample(rule):
+    protocol = make_protocol(checks=False, writes=3, gap=2, defect=rule)
+    report = check_safety(protocol, max_states=600_000)
+    assert report["properties"]["no overlap"]["holds"] is False
+
+
 # Checks that each rule of the specification is needed: without it, the search has to
 # find a counterexample.
 @pytest.mark.parametrize(
