Send long prompts only to engines that prefill nothing, and say why a call waits

An engine makes one step of all its streams for each chunk that it prefills, so several prompts in a row pause them all. Change: a long prompt waits until its engine has almost nothing else to prefill, and it waits for an engine that has its prefix rather than take a dearer one at once. A refusal, its metric and its log line name what kept each instance from taking the call; "no upstream took it" stood for ten causes. Delivered lines have the time of the first event and the longest pause. Two tests of the engine choice expected an engine with a backlog of 0.1 s to be taken at once; they now check that the call waits for it and goes to no other engine.

--- a/src/endivelug/forwarding/attempt.py
+++ b/src/endivelug/forwarding/attempt.py
@@ -253,6 +253,7 @@
                     if splitter.overflow:
                         raise UpstreamBroken("an event has no end; look at the engine")
                     if events:
+                        call.record_event(now=self.clock())
                         await self._write_response(call, writer, head, b"".join(events))
                 case BodyEnd():
                     if splitter.partial or not call.streaming:
--- a/src/endivelug/forwarding/calls.py
+++ b/src/endivelug/forwarding/calls.py
@@ -35,6 +35,10 @@
         Whether the head of the response has been sent to the caller.
     continued : bool
         Whether the run was continued from its backup on another engine.
+    first_event_at, last_event_at : float or None
+        Times of the first and the last complete event of the stream.
+    longest_pause_s : float
+        Longest pause between two events.
     """
 
     request: InboundRequest
@@ -49,8 +53,20 @@
     excluded_instances: set[str] = field(default_factory=set)
     streaming: bool = False
     continued: bool = False
+    first_event_at: float | None = None
+    last_event_at: float | None = None
+    longest_pause_s: float = 0.0
     splitter: EventSplitter = field(default_factory=EventSplitter)
 
+    def record_event(self, *, now: float) -> None:
+        """Record that complete events of the stream have arrived."""
+        if self.last_event_at is None:
+            self.first_event_at = now
+        else:
+            pause_s = now - self.last_event_at
+            self.longest_pause_s = max(self.longest_pause_s, pause_s)
+        self.last_event_at = now
+
     @property
     def repeatable(self) -> bool:
         """Whether the request may run again after a failed run."""
--- a/src/endivelug/forwarding/desired_weights.py
+++ b/src/endivelug/forwarding/desired_weights.py
@@ -49,6 +49,17 @@
         ]
         return min(newer, default=None)
 
+    def expires_at(self, version: int, *, after_s: float) -> float:
+        """Return the time from which no request may begin on a version, or infinity.
+
+        Parameters
+        ----------
+        after_s : float
+            Time for which a version may be used after a newer one was announced.
+        """
+        outdated_at = self.outdated_at(version)
+        return float("inf") if outdated_at is None else outdated_at + after_s
+
     def add(self, version: int, announcement: AnnouncedVersion) -> None:
         """Add a version, or correct the time of its announcement."""
         known = self.announced.get(version)
--- a/src/endivelug/forwarding/dispatcher.py
+++ b/src/endivelug/forwarding/dispatcher.py
@@ -1,6 +1,7 @@
 """Queues calls until an instance can serve them, and places them in order."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -8,6 +9,7 @@
 from endivelug.forwarding.instance_load import Work
 from endivelug.forwarding.placement import Placement, Placer
 from endivelug.forwarding.request_queue import QueuedRequest, RequestQueue
+from endivelug.forwarding.wait_reasons import NoPlacement, WaitReason
 
 # Interval at which waiting calls are tried again even if no event has occurred.
 ASSIGN_INTERVAL_S = 0.05
@@ -40,11 +42,11 @@
 
     async def place(
         self, call: Call, *, expires_at: float, returning: bool
-    ) -> Placement | None:
-        """Return the placement of a call, or None if ``expires_at`` passes first."""
+    ) -> Placement | NoPlacement:
+        """Return the placement of a call, or why it has none at ``expires_at``."""
         if not self._must_queue(call):
             placement = self.placer.place(call)
-            if placement is not None:
+            if isinstance(placement, Placement):
                 self.add_work(call, placement)
                 return placement
         return await self._wait(call, expires_at=expires_at, returning=returning)
@@ -77,7 +79,7 @@
 
     async def _wait(
         self, call: Call, *, expires_at: float, returning: bool
-    ) -> Placement | None:
+    ) -> Placement | NoPlacement:
         request = call.request.id
         future: asyncio.Future[Placement] = asyncio.get_running_loop().create_future()
         self.waiters[request] = _Waiter(call=call, future=future)
@@ -98,7 +100,10 @@
             async with asyncio.timeout(max(0.0, expires_at - self.clock())):
                 return await future
         except TimeoutError:
-            return None
+            placement = self.placer.place(call)
+            if isinstance(placement, Placement):
+                return NoPlacement(reasons=Counter({WaitReason.QUEUED: 1}))
+            return placement
         except asyncio.CancelledError:
             if future.done() and not future.cancelled():
                 # The placement was set in the same turn of the loop in which the caller
@@ -119,7 +124,7 @@
                 if waiter.future.done():
                     continue
                 placement = self.placer.place(waiter.call)
-                if placement is None:
+                if isinstance(placement, NoPlacement):
                     failed += 1
                     if failed >= MAX_FAILED_PLACEMENTS:
                         break
--- a/src/endivelug/forwarding/engine_choice.py
+++ b/src/endivelug/forwarding/engine_choice.py
@@ -8,8 +8,11 @@
 router, where a more urgent request can still overtake it.
 """
 
+from collections import Counter
 from dataclasses import dataclass
 
+from endivelug.forwarding.wait_reasons import NoPlacement, WaitReason
+
 # Latency of a request whose whole prompt is cached: scheduling, transfer, first step.
 BASE_LATENCY_S = 0.04
 # Prefill rate of an engine that is assumed until one has been measured.
@@ -30,11 +33,11 @@
 # Longest accepted backlog as a share of the request's target; beyond it the request
 # waits in the router's queue.
 MAX_BACKLOG_SHARE = 0.6
-# A prompt with this many uncached tokens is long. It is sent only to an engine with a
-# short backlog, so that short prompts don't queue behind several long ones inside an
-# engine.
+# A prompt with this many uncached tokens is long. It is sent only to an engine that has
+# almost nothing else to prefill: each prefill delays the next token of every stream of
+# the engine, and several in a row pause a stream for longer than its target.
 LONG_PROMPT_TOKENS = 2500
-LONG_PROMPT_MAX_BACKLOG_S = 0.2
+LONG_PROMPT_MAX_BACKLOG_S = 0.02
 # A prefill delays every running request of the engine by its duration. This share of
 # the added delay counts as cost, which keeps long and short prompts on separate
 # engines.
@@ -87,11 +90,15 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Prompt:
-    """Size of one request in tokens, and its target time to the first event."""
+    """Size of one request in tokens, and its target time to the first event.
+
+    ``waited_s`` is the time since it arrived.
+    """
 
     prompt_tokens: int
     output_tokens: int
     target_s: float
+    waited_s: float = 0.0
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -130,19 +137,19 @@
     return engine.slowdown * (BASE_LATENCY_S + prefill_s) + fetch_s, uncached_tokens
 
 
-def has_capacity(engine: EngineState, prompt: Prompt) -> bool:
-    """Return whether the engine has a free slot and enough memory for the request.
+def lacking_capacity(engine: EngineState, prompt: Prompt) -> WaitReason | None:
+    """Return whether the engine lacks a free slot or memory for the request.
 
     An idle engine accepts any request.
     """
     if engine.requests == 0:
-        return True
+        return None
     if engine.requests >= engine.slots:
-        return False
+        return WaitReason.NO_SLOT
     needed_tokens = prompt.prompt_tokens + prompt.output_tokens
-    return (
-        engine.memory_tokens + needed_tokens <= MAX_MEMORY_SHARE * engine.cache_tokens
-    )
+    if engine.memory_tokens + needed_tokens > MAX_MEMORY_SHARE * engine.cache_tokens:
+        return WaitReason.NO_MEMORY
+    return None
 
 
 def is_backlog_accepted(
@@ -158,8 +165,11 @@
 
 def choose_engine(
     engines: list[EngineState], prompt: Prompt, *, rate: PrefillRate
-) -> Choice | None:
-    """Return the engine with the lowest cost, or None if the request has to wait.
+) -> Choice | NoPlacement:
+    """Return the engine with the lowest cost, or why the request has to wait.
+
+    A request waits for an engine with a long backlog if that costs less than the best
+    of the others. The time that it has waited counts, so that it does not wait forever.
 
     Parameters
     ----------
@@ -171,14 +181,16 @@
         Measured prefill rate of the service.
     """
     best: tuple[float, EngineState, float, int] | None = None
+    best_blocked_cost = float("inf")
+    blocked: Counter[WaitReason] = Counter()
     for engine in engines:
-        if engine.prefilling_elsewhere or not has_capacity(engine, prompt):
+        reason = lacking_capacity(engine, prompt)
+        if reason is None and engine.prefilling_elsewhere:
+            reason = WaitReason.PREFILLING
+        if reason is not None:
+            blocked[reason] += 1
             continue
         wait_s, uncached_tokens = expected_wait(engine, prompt, rate=rate)
-        if not is_backlog_accepted(
-            engine, prompt, uncached_tokens=uncached_tokens, rate=rate
-        ):
-            continue
         cost = wait_s + PREFILL_COST_WEIGHT * uncached_tokens / rate.tokens_per_s
         cost += (
             INTERFERENCE_WEIGHT * engine.requests * uncached_tokens / rate.tokens_per_s
@@ -186,10 +198,15 @@
         cost += 0.0 if engine.local else REMOTE_COST_S
         cost -= PREFERRED_BONUS_S if engine.preferred else 0.0
         cost += 0.0 if engine.current else OLD_WEIGHTS_COST_S
-        if best is None or cost < best[0]:
+        if not is_backlog_accepted(
+            engine, prompt, uncached_tokens=uncached_tokens, rate=rate
+        ):
+            blocked[WaitReason.BACKLOG] += 1
+            best_blocked_cost = min(best_blocked_cost, cost + prompt.waited_s)
+        elif best is None or cost < best[0]:
             best = (cost, engine, wait_s, uncached_tokens)
-    if best is None:
-        return None
+    if best is None or best_blocked_cost < best[0]:
+        return NoPlacement(reasons=blocked)
     _, engine, wait_s, uncached_tokens = best
     return Choice(
         engine=engine.name,
--- a/src/endivelug/forwarding/forwarder.py
+++ b/src/endivelug/forwarding/forwarder.py
@@ -27,6 +27,7 @@
 from endivelug.forwarding.routes import Organisation, RoutingConfiguration
 from endivelug.forwarding.stream_recovery import StreamRecovery
 from endivelug.forwarding.upstream_connection import Headers
+from endivelug.forwarding.wait_reasons import NoPlacement
 
 # Times for which an instance is avoided, by the outcome of an attempt. One that refused
 # is busy for about the time of a short request.
@@ -171,8 +172,9 @@
         continuation: Placement | None = None
         while True:
             placement = continuation or await self._place(call)
-            if placement is None:
-                await self._fail(call, writer, failure, "no upstream took it")
+            if isinstance(placement, NoPlacement):
+                self.metrics.record_unplaced(call, placement.main_reason)
+                await self._fail(call, writer, failure, str(placement))
                 return
             name = placement.instance.name
             self.log(
@@ -205,9 +207,9 @@
                 await self._fail(call, writer, failure, _reason_of(outcome))
                 return
 
-    async def _place(self, call: Call) -> Placement | None:
+    async def _place(self, call: Call) -> Placement | NoPlacement:
         if not self.dispatcher.placer.has_instances(call):
-            return None
+            return NoPlacement()
         min_run_s = MIN_GENERATION_S if call.route.generates else MIN_PLAIN_S
         expires_at = min(call.deadline, call.caller_abandons_at) - min_run_s
         digest = request_digest(call)
@@ -331,6 +333,10 @@
             **self._log_fields(call),
             instance=instance,
             after_s=round(now - call.request.received_at, 3),
+            first_s=None
+            if call.first_event_at is None
+            else round(call.first_event_at - call.request.received_at, 3),
+            pause_s=round(call.longest_pause_s, 3) or None,
         )
 
     def _log_outcome(
--- a/src/endivelug/forwarding/instance_load.py
+++ b/src/endivelug/forwarding/instance_load.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 
 from endivelug.forwarding.neighbour_sums import Load, NeighbourSums
+from endivelug.forwarding.wait_reasons import WaitReason
 
 # Bounds of one sample of the slowdown factor, so that a single outlier has little
 # effect, and the weight of a sample in the moving average.
@@ -111,9 +112,19 @@
         """Return whether the instance carries out an order."""
         return any(until > now for until in self.orders.values())
 
+    def wait_reason(self, *, now: float) -> WaitReason | None:
+        """Return why the instance gets no new requests, or None if it does."""
+        if self.silent:
+            return WaitReason.SILENT
+        if self.is_ordered(now=now):
+            return WaitReason.ORDERED
+        if now < self.avoid_until:
+            return WaitReason.AVOIDED
+        return None
+
     def accepts_requests(self, *, now: float) -> bool:
         """Return whether the instance accepts new requests."""
-        return not (self.silent or now < self.avoid_until or self.is_ordered(now=now))
+        return self.wait_reason(now=now) is None
 
     def current_slowdown(self, *, now: float) -> float:
         """Return the slowdown factor, which decays to 1 without new samples."""
--- a/src/endivelug/forwarding/node_metrics.py
+++ b/src/endivelug/forwarding/node_metrics.py
@@ -4,6 +4,7 @@
 
 from endivelug.busiest import BusiestOrganisations
 from endivelug.forwarding.calls import Call
+from endivelug.forwarding.wait_reasons import WaitReason
 
 LATENCY_BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2.0, 4.0, 8.0, 16.0)
 # Further routes share the label ``OTHER_ROUTES``.
@@ -33,6 +34,11 @@
             "Attempts that failed, by service and ending.",
             registry=self.registry,
         )
+        self.unplaced = Counter(
+            "endivelug_forward_unplaced_total",
+            "Calls that no instance could take, by service and main reason.",
+            registry=self.registry,
+        )
         self.first_byte_s = Histogram(
             "endivelug_forward_first_byte_seconds",
             "Time from a request to the first byte of its answer.",
@@ -84,6 +90,11 @@
         labels = {"service": call.service, "ending": ending}
         self.attempts_failed.inc(labels)
 
+    def record_unplaced(self, call: Call, reason: WaitReason) -> None:
+        """Count a call that no instance could take."""
+        labels = {"service": call.service, "reason": reason.name.lower()}
+        self.unplaced.inc(labels)
+
     def page(self, values: dict[str, float]) -> bytes:
         """Return all metrics in the text format of Prometheus.
 
--- a/src/endivelug/forwarding/placement.py
+++ b/src/endivelug/forwarding/placement.py
@@ -1,12 +1,18 @@
 """Selects an instance for a call from the loads, weights and caches of a service."""
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
 from endivelug import _rendezvous
+from endivelug.forwarding.cache_lookup import (
+    LONG_SEGMENT_TOKENS,
+    CacheLookup,
+    uncached_shared,
+)
 from endivelug.forwarding.calls import Call
 from endivelug.forwarding.cluster_view import ClusterView
-from endivelug.forwarding.copy_sources import CacheLocation, CopySource, CopySources
+from endivelug.forwarding.copy_sources import CopySource, CopySources
 from endivelug.forwarding.engine_choice import (
     BASE_LATENCY_S,
     Choice,
@@ -21,21 +27,13 @@
 from endivelug.forwarding.routes import EngineLimits, Service
 from endivelug.forwarding.run_backup import BackupEngine, choose_backup, should_back_up
 from endivelug.forwarding.upstream_choice import UpstreamState, choose_upstream
+from endivelug.forwarding.wait_reasons import NoPlacement, WaitReason
 
 # No request is sent to an engine with outdated weights within this time before the
 # limit after which no request may start on them.
 OLD_WEIGHTS_MARGIN_S = 2.0
 # Fraction of an upstream's connection limit that all VMs use together.
 CONNECTION_SHARE = 0.9
-# Prompts of at least this size are fetched from the cache store even if it is not known
-# to cache them: a miss costs a millisecond.
-SPECULATIVE_FETCH_MIN_TOKENS = 1000
-# Shared segments with fewer tokens in total are prefilled faster than copied, so they
-# are not saved to the cache store.
-MIN_SAVE_TOKENS = 1000
-# Only segments of at least this size get a preferred engine, and only these keep a call
-# waiting while another engine prefills them.
-LONG_SEGMENT_TOKENS = 1000
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -112,6 +110,7 @@
         self.weights_limit_s = weights_limit_s
         self.clock = clock
         self.vms = 1
+        self.lookup = CacheLookup(view=view, clock=clock)
         self.rates: dict[str, PrefillRate] = {}
 
     def prefill_rate(self, service: str) -> PrefillRate:
@@ -122,38 +121,45 @@
         """Return whether any instance of the service is registered."""
         return bool(self.view.registry.of_service(call.service))
 
-    def place(self, call: Call) -> Placement | None:
-        """Return the placement of a call, or None if it has to wait."""
+    def place(self, call: Call) -> Placement | NoPlacement:
+        """Return the placement of a call, or why it has to wait."""
         configuration = self.view.configuration
         service = configuration.services.get(call.service) if configuration else None
         if service is None:
-            return None
-        candidates = self._available_instances(call, service)
+            return NoPlacement()
+        blocked: Counter[WaitReason] = Counter()
+        candidates = self._available_instances(call, service, blocked)
         if service.engine is not None and call.request.model is not None:
-            return self._place_generation(call, service.engine, candidates)
-        return self._place_plain(candidates)
+            result = self._place_generation(call, service.engine, candidates, blocked)
+        else:
+            result = self._place_plain(candidates)
+        if isinstance(result, NoPlacement):
+            result.reasons.update(blocked)
+        return result
 
     def _available_instances(
-        self, call: Call, service: Service
+        self, call: Call, service: Service, blocked: Counter[WaitReason]
     ) -> list[tuple[Instance, InstanceLoad]]:
+        """Return the instances that take requests; count the others as blocked."""
         now = self.clock()
         connections = max(1, int(CONNECTION_SHARE * service.max_connections / self.vms))
         available = []
         for instance in self.view.registry.of_service(service.name):
             load = self.view.loads.of(instance.name)
-            if not load.accepts_requests(now=now):
-                continue
-            if (
-                len(load.work) >= connections
-                or instance.name in call.excluded_instances
-            ):
-                continue
-            available.append((instance, load))
+            reason = load.wait_reason(now=now)
+            if instance.name in call.excluded_instances:
+                reason = WaitReason.EXCLUDED
+            elif reason is None and len(load.work) >= connections:
+                reason = WaitReason.NO_CONNECTION
+            if reason is None:
+                available.append((instance, load))
+            else:
+                blocked[reason] += 1
         return available
 
     def _place_plain(
         self, candidates: list[tuple[Instance, InstanceLoad]]
-    ) -> Placement | None:
+    ) -> Placement | NoPlacement:
         now = self.clock()
         states = [
             UpstreamState(
@@ -165,16 +171,19 @@
             )
             for instance, load in candidates
         ]
-        name = choose_upstream(states)
-        instance = self.view.registry.get(name) if name is not None else None
-        return Placement(instance=instance) if instance is not None else None
+        choice = choose_upstream(states)
+        if isinstance(choice, NoPlacement):
+            return choice
+        instance = self.view.registry.get(choice)
+        return Placement(instance=instance) if instance is not None else NoPlacement()
 
     def _place_generation(
         self,
         call: Call,
         limits: EngineLimits,
         candidates: list[tuple[Instance, InstanceLoad]],
-    ) -> Placement | None:
+        blocked: Counter[WaitReason],
+    ) -> Placement | NoPlacement:
         now = self.clock()
         request = call.request
         assert request.model is not None
@@ -186,15 +195,16 @@
         for instance, load in candidates:
             version = self.view.weights_of(instance, request.model)
             if version is None:
+                blocked[WaitReason.NO_MODEL] += 1
                 continue
             current = desired is None or version >= desired.version
-            outdated_at = desired.outdated_at(version) if desired else None
             usable_s = self.weights_limit_s - OLD_WEIGHTS_MARGIN_S
-            if outdated_at is not None and now >= outdated_at + usable_s:
+            if desired and now >= desired.expires_at(version, after_s=usable_s):
+                blocked[WaitReason.OUTDATED] += 1
                 continue
             namespace = self._namespace(call, version)
             if namespace not in sources:
-                sources[namespace] = self._sources(call, namespace, limits)
+                sources[namespace] = self.lookup.sources(call, namespace, limits)
             source = sources[namespace].best_for(
                 address=instance.address,
                 data_centre=instance.data_centre,
@@ -203,7 +213,9 @@
                 ),
             )
             total = self.view.loads.total(instance.name)
-            cached = self._leading_tokens(instance.name, namespace, request.prompt)
+            cached = self.lookup.leading_tokens(
+                instance.name, namespace, request.prompt
+            )
             reusable_tokens = max(cached, source.tokens)
             by_name[instance.name] = _Candidate(
                 instance=instance,
@@ -227,7 +239,7 @@
                     fetch_s=source.seconds,
                     slowdown=load.current_slowdown(now=now),
                     preferred=instance.name == preferred,
-                    prefilling_elsewhere=self._is_prefilling_elsewhere(
+                    prefilling_elsewhere=self.lookup.is_prefilling_elsewhere(
                         instance.name, namespace, request.prompt, reusable_tokens
                     ),
                 )
@@ -236,10 +248,11 @@
             prompt_tokens=request.prompt_tokens,
             output_tokens=request.output_tokens,
             target_s=call.route.target_s,
+            waited_s=max(0.0, now - request.received_at),
         )
         choice = choose_engine(states, prompt, rate=self.prefill_rate(call.service))
-        if choice is None:
-            return None
+        if isinstance(choice, NoPlacement):
+            return choice
         candidate = by_name[choice.engine]
         placement = self._placement(call, choice, candidate)
         if not should_back_up(call):
@@ -267,7 +280,7 @@
         return Placement(
             instance=candidate.instance,
             uncached_segments=tuple(
-                _uncached_shared(request.prompt, candidate.reusable_tokens)
+                uncached_shared(request.prompt, candidate.reusable_tokens)
             ),
             expected_s=choice.expected_s,
             uncached_tokens=choice.uncached_tokens,
@@ -275,7 +288,7 @@
             weights=candidate.version,
             namespace=candidate.namespace,
             fetch_from=candidate.source.address,
-            save_to=self._save_address(call, candidate.namespace),
+            save_to=self.lookup.save_address(call, candidate.namespace),
         )
 
     def _namespace(self, call: Call, version: int) -> str:
@@ -286,53 +299,6 @@
             owner = organisation.name
         return f"{call.request.model}/{version}/{owner}"
 
-    def _save_address(self, call: Call, namespace: str) -> str | None:
-        # The last segment belongs to a single request or session; saving it would take
-        # space from shared segments.
-        shared = call.request.prompt[:-1]
-        if sum(segment.tokens for segment in shared) < MIN_SAVE_TOKENS:
-            return None
-        store = self.view.cache_store_for(shared[0].segment_id)
-        if store is None:
-            return None
-        cached_tokens = self.view.caches.cached_tokens(
-            store.address, namespace=namespace, segments=shared
-        )
-        total = sum(segment.tokens for segment in shared)
-        return None if cached_tokens >= total else store.address
-
-    def _leading_tokens(
-        self, engine: str, namespace: str, segments: list[PromptSegment]
-    ) -> int:
-        """Return how many leading tokens an engine has cached or is prefilling."""
-        caches, now, tokens = self.view.caches, self.clock(), 0
-        for segment in segments:
-            cached = caches.cached_tokens(
-                engine, namespace=namespace, segments=[segment]
-            )
-            prefilling = caches.prefilling_engine(
-                namespace=namespace, segment_id=segment.segment_id, now=now
-            )
-            if not cached and prefilling != engine:
-                break
-            tokens += segment.tokens
-        return tokens
-
-    def _is_prefilling_elsewhere(
-        self, engine: str, namespace: str, segments: list[PromptSegment], reusable: int
-    ) -> bool:
-        """Return whether another engine prefills a long shared segment missing here."""
-        now = self.clock()
-        for segment in _uncached_shared(segments, reusable):
-            if segment.tokens < LONG_SEGMENT_TOKENS:
-                continue
-            prefilling = self.view.caches.prefilling_engine(
-                namespace=namespace, segment_id=segment.segment_id, now=now
-            )
-            if prefilling is not None and prefilling != engine:
-                return True
-        return False
-
     def _preferred_engine(
         self, call: Call, candidates: list[tuple[Instance, InstanceLoad]]
     ) -> str | None:
@@ -349,52 +315,3 @@
             return 0.0
         tokens = call.request.prompt[-1].tokens if call.request.prompt else 0
         return BASE_LATENCY_S + tokens / self.prefill_rate(call.service).tokens_per_s
-
-    def _sources(self, call: Call, namespace: str, limits: EngineLimits) -> CopySources:
-        """Return the cache locations of the leading segments of a prompt."""
-        segments, now = call.request.prompt, self.clock()
-        sources = CopySources(token_bytes=limits.token_bytes, fallback=None)
-        if not segments or limits.token_bytes <= 0:
-            return sources
-        cached = self.view.caches.cached_tokens
-        store = self.view.cache_store_for(segments[0].segment_id)
-        if store is not None:
-            if call.request.prompt_tokens >= SPECULATIVE_FETCH_MIN_TOKENS:
-                # A router that has just started does not know what the store caches.
-                sources.fallback = store.address
-            sources.add(
-                CacheLocation(
-                    address=store.address,
-                    data_centre=store.data_centre,
-                    mbps=min(store.link_mbps, limits.link_mbps),
-                    tokens=cached(
-                        store.address, namespace=namespace, segments=segments
-                    ),
-                    store=True,
-                )
-            )
-        for other in self.view.registry.of_service(call.service):
-            load = self.view.loads.of(other.name)
-            if load.silent or now < load.avoid_until:
-                continue
-            sources.add(
-                CacheLocation(
-                    address=other.address,
-                    data_centre=other.data_centre,
-                    mbps=limits.link_mbps,
-                    tokens=cached(other.name, namespace=namespace, segments=segments),
-                )
-            )
-        return sources
-
-
-def _uncached_shared(
-    segments: list[PromptSegment], reusable: int
-) -> list[PromptSegment]:
-    """Return the shared segments that extend beyond the reusable leading tokens."""
-    uncached, tokens = [], 0
-    for segment in segments[:-1]:
-        tokens += segment.tokens
-        if tokens > reusable:
-            uncached.append(segment)
-    return uncached
--- a/src/endivelug/forwarding/upstream_choice.py
+++ b/src/endivelug/forwarding/upstream_choice.py
@@ -5,8 +5,11 @@
 caller of this module leaves out upstreams that failed recently.
 """
 
+from collections import Counter
 from dataclasses import dataclass
 
+from endivelug.forwarding.wait_reasons import NoPlacement, WaitReason
+
 # Load per slot that is added for an upstream in another data centre.
 REMOTE_LOAD_PENALTY = 0.25
 # Requests per slot, running and queued, that an upstream may have; further requests
@@ -25,8 +28,8 @@
     slowdown: float
 
 
-def choose_upstream(upstreams: list[UpstreamState]) -> str | None:
-    """Return the upstream with the lowest cost, or None if the call has to wait.
+def choose_upstream(upstreams: list[UpstreamState]) -> str | NoPlacement:
+    """Return the upstream with the lowest cost, or why the call has to wait.
 
     Examples
     --------
@@ -44,4 +47,6 @@
         cost += 0.0 if upstream.local else REMOTE_LOAD_PENALTY
         if best is None or cost < best[0]:
             best = (cost, upstream.name)
-    return best[1] if best else None
+    if best is None:
+        return NoPlacement(reasons=Counter({WaitReason.NO_SLOT: len(upstreams)}))
+    return best[1]
--- a/tests/test_engine_choice.py
+++ b/tests/test_engine_choice.py
@@ -3,6 +3,7 @@
     PrefillRate,
     choose_engine,
 )
+from endivelug.forwarding.wait_reasons import WaitReason
 from forwarding_builders import make_engine_state, make_prompt
 
 RATE = PrefillRate(tokens_per_s=36_700.0)
@@ -15,11 +16,23 @@
 # Guards against prefilling a shared prefix again although an engine that has it cached
 # has a short backlog (load: long prompts that share a few prefixes).
 def test_a_short_backlog_at_a_caching_engine_is_better_than_another_prefill():
+    idle = make_engine_state("idle")
+    caching = make_engine_state("caching", cached_tokens=13_300, requests=5)
+    assert choose([caching, idle]).engine == "caching"
+    caching = make_engine_state(
+        "caching", cached_tokens=13_300, backlog_tokens=4_000, requests=5
+    )
+    assert choose([caching, idle]).reasons == {WaitReason.BACKLOG: 1}
+
+
+# Guards against a prompt that waits forever for the engine that has its prefix cached,
+# because requests of other VMs always get there first.
+def test_a_prompt_that_has_waited_takes_another_engine():
     caching = make_engine_state(
         "caching", cached_tokens=13_300, backlog_tokens=4_000, requests=5
     )
     idle = make_engine_state("idle")
-    assert choose([caching, idle]).engine == "caching"
+    assert choose([caching, idle], waited_s=1.0).engine == "idle"
 
 
 # Guards against prefilling tokens that can be copied from another engine.
@@ -38,9 +51,12 @@
         "prefilling", cached_tokens=13_300, backlog_tokens=17_000
     )
     other = make_engine_state("other", prefilling_elsewhere=True)
-    assert choose([other, prefilling]) is None
+    assert choose([other, prefilling]).reasons == {
+        WaitReason.PREFILLING: 1,
+        WaitReason.BACKLOG: 1,
+    }
     prefilling = make_engine_state(
-        "prefilling", cached_tokens=13_300, backlog_tokens=3_000
+        "prefilling", cached_tokens=13_300, backlog_tokens=500
     )
     assert choose([other, prefilling]).engine == "prefilling"
 
@@ -50,18 +66,18 @@
 def test_a_backlog_holds_back_long_prompts_but_not_short_ones():
     backlog = int(2 * LONG_PROMPT_MAX_BACKLOG_S * RATE.tokens_per_s)
     engines = [make_engine_state(name, backlog_tokens=backlog) for name in "ab"]
-    assert choose(engines) is None
+    assert choose(engines).main_reason is WaitReason.BACKLOG
     short = choose(engines, prompt_tokens=383, output_tokens=11, target_s=1.5)
-    assert short is not None
+    assert short.engine in "ab"
 
 
 # Guards against preemption in an engine, which happens if the requests reserve more
 # tokens than its memory can hold.
 def test_an_engine_without_free_memory_or_slots_is_not_chosen():
     full = make_engine_state("full", requests=8, memory_tokens=130_000)
-    assert choose([full]) is None
+    assert choose([full]).main_reason is WaitReason.NO_MEMORY
     crowded = make_engine_state("crowded", requests=64)
-    assert choose([crowded]) is None
+    assert choose([crowded]).main_reason is WaitReason.NO_SLOT
 
 
 # Guards against a prompt that is never sent to any engine because it is large.
