Leave unreachable engines sooner, and load weights faster before the old ones expire

Change: an engine that is quiet for 0.35 s is checked with a connection; one that accepts none is silent at once, and a stream there goes on from the copy of its run. As many engines are ordered at a time as bring all up to date before the limit of the old weights, and engines beyond it at once.

--- a/src/endivelug/forwarding/attempt.py
+++ b/src/endivelug/forwarding/attempt.py
@@ -26,6 +26,7 @@
 from endivelug.forwarding.upstream_connection import (
     BodyData,
     BodyEnd,
+    ResponseEvent,
     ResponseHead,
     UpstreamConnection,
 )
@@ -176,19 +177,37 @@
         silence_timeout_s = attempt_limits.silence_timeout_s(
             call, expected_s=placement.expected_s
         )
+        event = await self._wait_for_event(
+            connection,
+            deadline=first_byte_deadline,
+            leave=lambda: self._is_engine_silent(placement, now, silence_timeout_s),
+        )
+        assert isinstance(event, ResponseHead)
+        return event
+
+    async def _wait_for_event(
+        self,
+        connection: UpstreamConnection,
+        *,
+        deadline: float,
+        leave: Callable[[], bool],
+    ) -> ResponseEvent:
+        """Return the next event of a response.
+
+        Raises
+        ------
+        TimeoutError
+            If the deadline passes or ``leave`` returns True; it is called regularly.
+        """
         event = asyncio.ensure_future(connection.next_event())
         try:
-            while not event.done():
-                wait_s = first_byte_deadline - self.clock()
-                if silence_timeout_s is not None:
-                    wait_s = min(wait_s, SILENCE_CHECK_INTERVAL_S)
+            while True:
+                wait_s = min(deadline - self.clock(), SILENCE_CHECK_INTERVAL_S)
                 await asyncio.wait([event], timeout=max(0.0, wait_s))
                 if event.done():
-                    break
-                self._check_timeouts(
-                    placement, now, first_byte_deadline, silence_timeout_s
-                )
-            head = event.result()
+                    return event.result()
+                if self.clock() >= deadline or leave():
+                    raise TimeoutError
         except BaseException:
             event.cancel()
             # Retrieve an exception set in the same turn of the loop, which asyncio
@@ -196,25 +215,23 @@
             if event.done() and not event.cancelled():
                 event.exception()
             raise
-        assert isinstance(head, ResponseHead)
-        return head
 
-    def _check_timeouts(
-        self,
-        placement: Placement,
-        sent_at: float,
-        first_byte_deadline: float,
-        silence_timeout_s: float | None,
-    ) -> None:
-        """Raise ``TimeoutError`` after the deadline or if the instance is silent."""
-        now = self.clock()
-        if now >= first_byte_deadline:
-            raise TimeoutError
+    def _is_engine_silent(
+        self, placement: Placement, sent_at: float, silence_timeout_s: float | None
+    ) -> bool:
+        """Return whether to leave an engine that sends nothing to any VM."""
         if silence_timeout_s is None:
-            return
+            return False
         load = self.view.loads.of(placement.instance.name)
-        if load.silent or now - max(load.last_heard_at, sent_at) > silence_timeout_s:
-            raise TimeoutError
+        quiet_s = self.clock() - max(load.last_heard_at, sent_at)
+        return load.silent or quiet_s > silence_timeout_s
+
+    def _can_leave_unreachable(self, call: Call, placement: Placement) -> bool:
+        """Return whether a stream can go on elsewhere, as its engine is unreachable."""
+        if not self.view.loads.of(placement.instance.name).unreachable:
+            return False
+        has_backup = placement.backup is not None and not call.continued
+        return call.may_run_again or (has_backup and call.streaming)
 
     async def _read_body(self, call: Call, connection: UpstreamConnection) -> bytes:
         body = bytearray()
@@ -243,8 +260,11 @@
         while True:
             now = self.clock()
             deadline = attempt_limits.next_event_deadline(call, now=now)
-            async with asyncio.timeout(max(0.0, deadline - now)):
-                event = await connection.next_event()
+            event = await self._wait_for_event(
+                connection,
+                deadline=deadline,
+                leave=lambda: self._can_leave_unreachable(call, placement),
+            )
             loads.record_byte(name, now=self.clock())
             match event:
                 case BodyData(data=data):
--- a/src/endivelug/forwarding/instance_load.py
+++ b/src/endivelug/forwarding/instance_load.py
@@ -79,8 +79,12 @@
     silent : bool
         Whether the instance has requests but sends nothing. It gets no new requests
         until a connection to it succeeds.
+    unreachable : bool
+        Whether the instance is silent and the last connection attempt failed.
     last_byte_at : float
         Time at which the last byte was received from the instance.
+    reached_at : float
+        Time at which the instance last accepted a connection although it was quiet.
     heard_by_others_at : float
         Estimated time at which another VM last received a byte from it.
     counted_at : float
@@ -96,7 +100,9 @@
     avoid_until: float = 0.0
     orders: dict[str, float] = field(default_factory=dict)
     silent: bool = False
+    unreachable: bool = False
     last_byte_at: float = 0.0
+    reached_at: float = 0.0
     heard_by_others_at: float = 0.0
     counted_at: float = float("-inf")
     failures: int = 0
--- a/src/endivelug/forwarding/node.py
+++ b/src/endivelug/forwarding/node.py
@@ -149,6 +149,7 @@
             lease_clock=boot_clock,
             checks_fencing=settings.checks_fencing,
             peer_order_gap_s=settings.lease_s + CLOCK_BOUND_S,
+            weights_usable_s=settings.weights_limit_s - OLD_WEIGHTS_MARGIN_S,
             rng=rng,
             log=log,
         )
--- a/src/endivelug/forwarding/silence_detection.py
+++ b/src/endivelug/forwarding/silence_detection.py
@@ -3,7 +3,8 @@
 Load pattern: an engine hangs without closing its connections. Each request sent to it
 is lost if it may run only once, so all routers have to stop sending to the instance
 within a second. A silent instance gets requests again once a new connection to it
-succeeds.
+succeeds. One that is quiet for a shorter time is only suspected: a connection attempt
+shows whether it can be reached.
 """
 
 from endivelug.forwarding.instance_load import InstanceLoad
@@ -12,6 +13,8 @@
 # Longest silence of a busy engine: it prefills one chunk of a prompt in a tenth of a
 # second.
 ENGINE_SILENCE_S = 0.6
+# Silence of a busy engine after which a connection attempt checks it.
+ENGINE_SUSPECT_S = 0.35
 # Longest silence of a plain service, whose calls take tens of milliseconds.
 SERVICE_SILENCE_S = 0.5
 # Factor on the expected prefill time: an engine that prefills a single long prompt
@@ -26,6 +29,7 @@
     now: float,
     engine: bool,
     tokens_per_s: float,
+    silence_s: float = ENGINE_SILENCE_S,
 ) -> bool:
     """Return whether a busy instance has sent nothing to any VM for too long.
 
@@ -38,6 +42,8 @@
         Whether the instance is an engine; plain services respond sooner.
     tokens_per_s : float
         Prefill rate of the engines.
+    silence_s : float
+        Longest silence of an engine that prefills nothing.
     """
     if not load.work:
         return False
@@ -47,4 +53,4 @@
         return silent_s > SERVICE_SILENCE_S * load.current_slowdown(now=now)
     slowdown = max(1.0, load.current_slowdown(now=now))
     prefill_s = PREFILL_TIME_FACTOR * slowdown * total.uncached_tokens / tokens_per_s
-    return silent_s > ENGINE_SILENCE_S + prefill_s
+    return silent_s > silence_s + prefill_s
--- a/src/endivelug/forwarding/silence_watch.py
+++ b/src/endivelug/forwarding/silence_watch.py
@@ -2,14 +2,22 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from functools import partial
+from typing import Any
 
 from endivelug.exceptions import UpstreamUnreachable
 from endivelug.forwarding.cluster_view import ClusterView, LogLine
 from endivelug.forwarding.connection_pool import ConnectionPool
+from endivelug.forwarding.instance_load import InstanceLoad
 from endivelug.forwarding.instances import Instance
 from endivelug.forwarding.placement import Placer
-from endivelug.forwarding.silence_detection import is_silent
+from endivelug.forwarding.silence_detection import (
+    ENGINE_SILENCE_S,
+    ENGINE_SUSPECT_S,
+    is_silent,
+)
+from endivelug.forwarding.upstream_connection import connect
 
 CHECK_INTERVAL_S = 0.1
 # Interval of the checks while this VM has no requests in progress.
@@ -17,7 +25,9 @@
 # Lifetime of the notice to avoid a silent instance; each failed probe repeats it.
 AVOID_NOTICE_S = 1.0
 PROBE_INTERVAL_S = 0.4
-PROBE_TIMEOUT_S = 0.4
+PROBE_TIMEOUT_S = 0.3
+# A quiet engine that accepted a connection is not checked again for this long.
+REACHED_S = 0.5
 
 
 class SilenceWatch:
@@ -51,40 +61,89 @@
         self.probes: dict[str, asyncio.Task[None]] = {}
 
     async def run(self) -> None:
-        """Check for silent instances until cancelled, and start a probe for each."""
+        """Check for silent instances until cancelled, and probe each of them."""
         while True:
-            loads = self.view.loads
-            interval_s = CHECK_INTERVAL_S if loads.has_work() else IDLE_CHECK_INTERVAL_S
-            await asyncio.sleep(interval_s)
-            now = self.clock()
+            busy = self.view.loads.has_work()
+            await asyncio.sleep(CHECK_INTERVAL_S if busy else IDLE_CHECK_INTERVAL_S)
             for instance in self._instances_with_work():
-                load = loads.of(instance.name)
-                engine = bool(instance.model_versions)
-                rate = self.placer.prefill_rate(instance.service).tokens_per_s
-                if load.silent or not is_silent(
-                    load,
-                    total=loads.total(instance.name),
-                    now=now,
-                    engine=engine,
-                    tokens_per_s=rate,
-                ):
-                    continue
-                load.silent = True
-                self.pool.close_idle(instance.address)
-                self.log(
-                    "instance-silent",
-                    instance=instance.name,
-                    work=len(load.work),
-                    oldest_s=round(
-                        now - min(work.sent_at for work in load.work.values()), 2
-                    ),
-                    heard_s=round(now - load.last_heard_at, 2)
-                    if load.last_heard_at
-                    else None,
-                )
-                self.on_avoid(instance.name, AVOID_NOTICE_S)
-                task = asyncio.create_task(self._probe(instance))
-                self.probes[instance.name] = task
+                self._check(instance)
+
+    def _check(self, instance: Instance) -> None:
+        load = self.view.loads.of(instance.name)
+        if load.silent:
+            return
+        if self._is_silent(instance, load, ENGINE_SILENCE_S):
+            self._mark_silent(instance, load)
+        elif instance.name not in self.probes and self._is_suspect(instance, load):
+            self._start_probe(instance, self._check_reachable(instance))
+
+    def _is_silent(
+        self, instance: Instance, load: InstanceLoad, silence_s: float
+    ) -> bool:
+        return is_silent(
+            load,
+            total=self.view.loads.total(instance.name),
+            now=self.clock(),
+            engine=bool(instance.model_versions),
+            tokens_per_s=self.placer.prefill_rate(instance.service).tokens_per_s,
+            silence_s=silence_s,
+        )
+
+    def _is_suspect(self, instance: Instance, load: InstanceLoad) -> bool:
+        """Return whether to check if an engine can be reached."""
+        return (
+            bool(instance.model_versions)
+            and self.clock() >= load.reached_at + REACHED_S
+            and self._is_silent(instance, load, ENGINE_SUSPECT_S)
+        )
+
+    def _mark_silent(self, instance: Instance, load: InstanceLoad) -> None:
+        now = self.clock()
+        load.silent = True
+        self.pool.close_idle(instance.address)
+        self.log(
+            "instance-silent",
+            instance=instance.name,
+            work=len(load.work),
+            unreachable=load.unreachable,
+            oldest_s=_age_s(min(work.sent_at for work in load.work.values()), now)
+            if load.work
+            else None,
+            heard_s=_age_s(load.last_heard_at, now) if load.last_heard_at else None,
+        )
+        self.on_avoid(instance.name, AVOID_NOTICE_S)
+        self._start_probe(instance, self._probe(instance))
+
+    def _start_probe(
+        self, instance: Instance, probe: Coroutine[Any, Any, None]
+    ) -> None:
+        task = asyncio.create_task(probe)
+        self.probes[instance.name] = task
+        task.add_done_callback(partial(self._probe_ended, instance.name))
+
+    def _probe_ended(self, name: str, task: asyncio.Task[None]) -> None:
+        if self.probes.get(name) is task:
+            del self.probes[name]
+
+    async def _check_reachable(self, instance: Instance) -> None:
+        """Mark a suspected engine as silent if it accepts no connection."""
+        load = self.view.loads.of(instance.name)
+        if await self._accepts_connection(instance):
+            load.reached_at = self.clock()
+        elif not load.silent and load.work:
+            load.unreachable = True
+            self._mark_silent(instance, load)
+
+    async def _accepts_connection(self, instance: Instance) -> bool:
+        # Connects anew: an idle connection may have outlived its instance.
+        try:
+            connection = await connect(
+                instance.address, timeout_s=PROBE_TIMEOUT_S, clock=self.clock
+            )
+        except UpstreamUnreachable:
+            return False
+        self.pool.release(instance.address, connection, idle_s=None)
+        return True
 
     def _instances_with_work(self) -> list[Instance]:
         names = [name for name, load in self.view.loads.loads.items() if load.work]
@@ -96,17 +155,16 @@
         load = self.view.loads.of(instance.name)
         while self.view.registry.get(instance.name) == instance:
             await asyncio.sleep(PROBE_INTERVAL_S * self.rng.uniform(0.7, 1.3))
-            try:
-                connection = await self.pool.acquire(
-                    instance.address, timeout_s=PROBE_TIMEOUT_S
-                )
-            except UpstreamUnreachable:
-                self.on_avoid(instance.name, AVOID_NOTICE_S)
-                continue
-            self.pool.release(instance.address, connection, idle_s=None)
-            break
-        load.silent = False
-        load.last_byte_at = self.clock()
+            if await self._accepts_connection(instance):
+                break
+            load.unreachable = True
+            self.on_avoid(instance.name, AVOID_NOTICE_S)
+        load.silent = load.unreachable = False
+        load.last_byte_at = load.reached_at = self.clock()
         if self.view.registry.get(instance.name) == instance:
             self.log("instance-reached", instance=instance.name)
         self.view.on_change()
+
+
+def _age_s(at: float, now: float) -> float:
+    return round(now - at, 2)
--- a/src/endivelug/forwarding/stream_recovery.py
+++ b/src/endivelug/forwarding/stream_recovery.py
@@ -6,6 +6,7 @@
 from endivelug.forwarding.calls import AttemptOutcome, Call, Lost
 from endivelug.forwarding.cluster_view import ClusterView
 from endivelug.forwarding.connection_pool import ConnectionPool
+from endivelug.forwarding.instances import Instance
 from endivelug.forwarding.placement import Placement
 from endivelug.forwarding.upstream_connection import connect
 
@@ -40,7 +41,7 @@
             return None
         if not call.streaming or call.splitter.last_id is None:
             return None
-        if not await self._is_unreachable(failed.instance.address):
+        if not await self._is_unreachable(failed.instance):
             return None
         registered = self.view.registry.get(backup.name)
         if registered is None or registered.incarnation != backup.incarnation:
@@ -58,13 +59,15 @@
             continue_at=backup.address,
         )
 
-    async def _is_unreachable(self, address: str) -> bool:
+    async def _is_unreachable(self, engine: Instance) -> bool:
+        if self.view.loads.of(engine.name).unreachable:
+            return True
         # Connects anew: an idle connection in the pool may have outlived its engine.
         try:
             connection = await connect(
-                address, timeout_s=PROBE_TIMEOUT_S, clock=self.clock
+                engine.address, timeout_s=PROBE_TIMEOUT_S, clock=self.clock
             )
         except UpstreamUnreachable:
             return True
-        self.pool.release(address, connection, idle_s=None)
+        self.pool.release(engine.address, connection, idle_s=None)
         return False
--- a/src/endivelug/forwarding/weights_order_sender.py
+++ b/src/endivelug/forwarding/weights_order_sender.py
@@ -35,6 +35,10 @@
 # First delay before a failed order is retried; it doubles with each failure.
 RETRY_S = 0.5
 RETRY_MAX_S = 2.0
+# Expected time from an order to its completion until one has been measured, and the
+# weight of a sample in the moving average.
+INITIAL_ORDER_S = 2.5
+DURATION_SAMPLE_WEIGHT = 0.3
 
 
 class EngineControl(Protocol):
@@ -70,6 +74,8 @@
         Whether engines reject an old fencing number.
     peer_order_gap_s : float
         Time after a peer's order to an engine during which this VM must not order it.
+    weights_usable_s : float
+        Time for which weights may be used after newer ones were announced.
 
     Attributes
     ----------
@@ -89,6 +95,7 @@
         lease_clock: Callable[[], float],
         checks_fencing: bool,
         peer_order_gap_s: float,
+        weights_usable_s: float,
         rng: random.Random,
         log: LogLine,
     ) -> None:
@@ -101,6 +108,8 @@
         self.lease_clock = lease_clock
         self.checks_fencing = checks_fencing
         self.peer_order_gap_s = peer_order_gap_s
+        self.weights_usable_s = weights_usable_s
+        self.order_s = INITIAL_ORDER_S
         self.rng = rng
         self.log = log
         self.tasks: dict[str, asyncio.Task[None]] = {}
@@ -175,9 +184,18 @@
                         requests=self.view.loads.total(instance.name).requests,
                         ordered=instance.name in self.tasks or load.is_ordered(now=now),
                         silent=load.silent or failed,
+                        usable_until=desired.expires_at(
+                            version, after_s=self.weights_usable_s
+                        ),
                     )
                 )
-            for name in next_engines(engines, desired_version=desired.version):
+            names = next_engines(
+                engines,
+                desired_version=desired.version,
+                now=now,
+                order_s=self.order_s,
+            )
+            for name in names:
                 task = asyncio.create_task(self._update_engine(name, model))
                 self.tasks[name] = task
                 task.add_done_callback(partial(self._order_ended, name))
@@ -263,6 +281,7 @@
     ) -> None:
         """Wait until the engine has the weights and accepts requests again."""
         idle_polls = 0
+        started_at = self.clock()
         while self.clock() < deadline:
             if self.view.registry.get(instance.name) is None:
                 return
@@ -278,6 +297,7 @@
                 idle_polls = 0
                 continue
             if self._has_desired_weights(instance, model):
+                self._record_duration(self.clock() - started_at)
                 return
             # The report lags: only the second one without an order in progress shows
             # that the order was lost.
@@ -285,6 +305,9 @@
             if idle_polls >= 2:
                 return
 
+    def _record_duration(self, seconds: float) -> None:
+        self.order_s += DURATION_SAMPLE_WEIGHT * (seconds - self.order_s)
+
     def _record_report(
         self, instance: Instance, model: str, report: EngineReport
     ) -> None:
--- a/src/endivelug/forwarding/weights_rollout.py
+++ b/src/endivelug/forwarding/weights_rollout.py
@@ -2,10 +2,13 @@
 
 Load pattern: new weights are announced several times within seconds while the engines
 are busy. An engine that carries out an order accepts no requests, so only a share of
-the engines loads at a time, those with the fewest requests first. A silent engine gets
-no order, because a pending order there would only block orders to the others.
+the engines loads at a time, those with the fewest requests first. More load at a time
+if the others would otherwise still have the old weights when these may no longer be
+used. A silent engine gets no order, because a pending order there would only block
+orders to the others.
 """
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 
@@ -69,26 +72,48 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class RolloutEngine:
-    """State of one engine during a rollout."""
+    """State of one engine during a rollout.
+
+    Attributes
+    ----------
+    usable_until : float
+        Time from which no request may begin on its weights.
+    """
 
     name: str
     version: int
     requests: int
     ordered: bool
     silent: bool
+    usable_until: float = float("inf")
 
 
-def next_engines(engines: list[RolloutEngine], *, desired_version: int) -> list[str]:
+def next_engines(
+    engines: list[RolloutEngine],
+    *,
+    desired_version: int,
+    now: float = 0.0,
+    order_s: float = 0.0,
+) -> list[str]:
     """Return the names of the engines to order now.
 
+    Parameters
+    ----------
+    order_s : float
+        Expected time from an order to its completion.
+
     Examples
     --------
-    >>> def engine(name, version, requests):
+    >>> def engine(name, version, requests, usable_until=60.0):
     ...     return RolloutEngine(name=name, version=version, requests=requests,
-    ...                          ordered=False, silent=False)
-    >>> next_engines([engine("a", 1, 9), engine("b", 1, 2), engine("c", 2, 0),
-    ...               engine("d", 1, 5), engine("e", 1, 7)], desired_version=2)
+    ...                          ordered=False, silent=False,
+    ...                          usable_until=usable_until)
+    >>> engines = [engine("a", 1, 9), engine("b", 1, 2), engine("c", 2, 0),
+    ...            engine("d", 1, 5), engine("e", 1, 7)]
+    >>> next_engines(engines, desired_version=2, order_s=3.0)
     ['b', 'd']
+    >>> next_engines(engines, desired_version=2, now=56.0, order_s=3.0)
+    ['b', 'd', 'e', 'a']
     """
     limit = max(1, int(MAX_LOADING_SHARE * len(engines)))
     # A silent engine serves no requests either, so it counts against the limit.
@@ -98,9 +123,25 @@
         for engine in engines
         if engine.version < desired_version and not engine.ordered and not engine.silent
     ]
-    pending.sort(key=lambda engine: (engine.requests, engine.name))
-    free = limit - unavailable
-    if not any(engine.ordered for engine in engines):
+    # An engine whose weights are too old serves nothing, so it is ordered at once.
+    pending.sort(
+        key=lambda engine: (engine.usable_until > now, engine.requests, engine.name)
+    )
+    expired = sum(1 for engine in pending if engine.usable_until <= now)
+    ordered = sum(1 for engine in engines if engine.ordered)
+    free = max(
+        limit - unavailable,
+        _needed_orders(pending[expired:], now=now, order_s=order_s) - ordered,
         # Order at least one engine even if silent ones use up the limit.
-        free = max(1, free)
-    return [engine.name for engine in pending[: max(0, free)]]
+        0 if ordered else 1,
+    )
+    return [engine.name for engine in pending[: max(expired, free)]]
+
+
+def _needed_orders(engines: list[RolloutEngine], *, now: float, order_s: float) -> int:
+    """Return how many orders at a time complete all before the weights are too old."""
+    if not engines:
+        return 0
+    left_s = min(engine.usable_until for engine in engines) - now
+    rounds = max(1, math.floor(left_s / order_s)) if order_s > 0 else len(engines)
+    return math.ceil(len(engines) / rounds)
--- a/tests/order_simulation.py
+++ b/tests/order_simulation.py
@@ -178,6 +178,7 @@
             lease_clock=self.clock,
             checks_fencing=checks_fencing,
             peer_order_gap_s=TURN_GAP_S,
+            weights_usable_s=6.0,
             rng=rng,
             log=self.log,
         )
--- a/tests/test_stream_recovery.py
+++ b/tests/test_stream_recovery.py
@@ -1,5 +1,7 @@
 """Streams that may run only once and whose engine fails in the middle."""
 
+import asyncio
+
 import pytest
 
 from forwarding_builders import configuration_document
@@ -68,6 +70,53 @@
     run_scenario(scenario, engines=2, configuration=unrepeatable_streams())
 
 
+# Guards against a stream that waits until its deadline at an engine that has gone silent
+# without closing its connections, although another engine has a copy of the run.
+def test_a_stream_leaves_a_silent_engine_that_accepts_no_connections():
+    async def scenario(system):
+        def make_script(engine):
+            async def script(exchange):
+                if "kv-from" in exchange.headers:
+                    await resume_from_copy(exchange)
+                    return
+                await send_events(exchange, 1, 2)
+                engine.crash()
+                await asyncio.sleep(30)
+
+            return script
+
+        for engine in system.engines:
+            engine.script = make_script(engine)
+        watch = asyncio.create_task(system.node.silence_watch.run())
+        response = await system.request(headers={**PROMPT, "X-Deadline-Ms": "5000"})
+        watch.cancel()
+        assert response.complete
+        assert "instance-silent" in system.log.events()
+
+    run_scenario(scenario, engines=2, configuration=unrepeatable_streams())
+
+
+# Guards against avoiding an engine that is only quiet for a moment: it accepts
+# connections, so it is not reported to the other VMs.
+def test_a_quiet_engine_that_accepts_connections_is_not_silent_yet():
+    async def scenario(system):
+        async def pause(exchange):
+            await send_events(exchange, 1, 1)
+            await asyncio.sleep(0.55)
+            await exchange.send_event(2)
+            await exchange.end_stream()
+
+        system.engines[0].script = pause
+        watch = asyncio.create_task(system.node.silence_watch.run())
+        response = await system.request(headers=PROMPT)
+        watch.cancel()
+        assert response.complete
+        assert "instance-silent" not in system.log.events()
+        assert system.engines[0].connections == 2
+
+    run_scenario(scenario, configuration=unrepeatable_streams())
+
+
 # Guards against a request that runs at two engines at once: an engine that has only
 # lost the connection may still be running it.
 def test_a_stream_does_not_continue_while_its_engine_may_still_run_it():
--- a/tests/test_weights_rollout.py
+++ b/tests/test_weights_rollout.py
@@ -32,3 +32,20 @@
 def test_the_engine_with_the_fewest_requests_is_first():
     engines = [engine("a", requests=9), engine("b", requests=1)]
     assert next_engines(engines, desired_version=2) == ["b"]
+
+
+# Guards against engines that are still on old weights when these may no longer be used,
+# so that requests are refused although the engines are idle.
+def test_more_engines_load_at_a_time_as_the_limit_of_the_old_weights_approaches():
+    engines = [engine(name, usable_until=10.0) for name in "abcdef"]
+    assert len(next_engines(engines, desired_version=2, now=0.0, order_s=3.0)) == 2
+    assert len(next_engines(engines, desired_version=2, now=4.0, order_s=3.0)) == 3
+    assert len(next_engines(engines, desired_version=2, now=8.0, order_s=3.0)) == 6
+
+
+# Guards against engines that wait for their turn although they serve nothing any more.
+def test_engines_whose_weights_are_too_old_are_ordered_at_once():
+    engines = [engine(name, usable_until=1.0) for name in "abcd"]
+    engines += [engine(name, usable_until=90.0) for name in "efgh"]
+    names = next_engines(engines, desired_version=2, now=2.0, order_s=3.0)
+    assert names == ["a", "b", "c", "d"]
