--- a/tests/test_stream_recovery.py
+++ b/tests/test_stream_recovery.py
@@ -70,8 +70,8 @@
     run_scenario(scenario, engines=2, configuration=unrepeatable_streams())
 
 
-# Guards against a stream that waits until its deadline at an engine that has gone silent
-# without closing its connections, although another engine has a copy of the run.
+# Guards against a stream that waits until its deadline at an engine that has gone
+# silent without closing its connections, although another one has a copy of the run.
 def test_a_stream_leaves_a_silent_engine_that_accepts_no_connections():
     async def scenario(system):
         def make_script(engine):
