Ask the store less often: at a start, and from one relay of each data centre

Change: a VM that has read the tables waits for its links before it follows the store; the first relay of a data centre follows it and the others rely on that one while it does so itself; one VM creates the link secret and all read it together with the list of VMs; a changed feed is asked again after a short pause.

--- a/src/endivelug/forwarding/neighbour.py
+++ b/src/endivelug/forwarding/neighbour.py
@@ -27,6 +27,8 @@
         Itself and the relays that it is linked to; empty if it is not a relay.
     registry_lost : bool
         Whether it cannot reach the registry of upstreams.
+    follows_store : bool
+        Whether it follows the store itself, and the store answers.
     rows_current_at : float
         Time at which its rows were last known to be current.
     lease_until : float
@@ -56,6 +58,7 @@
     vms: int = 1
     relays: frozenset[str] = frozenset()
     registry_lost: bool = False
+    follows_store: bool = False
     rows_current_at: float = float("-inf")
     lease_until: float = 0.0
     tables: dict[str, int] = field(default_factory=dict)
--- a/src/endivelug/forwarding/overlay.py
+++ b/src/endivelug/forwarding/overlay.py
@@ -132,6 +132,14 @@
             names.update(self._relays_of(data_centre, now))
         return [self.registered[name] for name in sorted(names - {self.vm})]
 
+    def preceding_relays(self, *, now: float) -> list[str]:
+        """Return the live relays of the data centre before this VM, in order."""
+        return [
+            item.name
+            for item in self._preceding_relays(now)
+            if item.name in self.relays
+        ]
+
     def rank(self) -> int:
         """Return the position of this VM among the live relays, sorted by name."""
         return sum(1 for name in self.relays if name < self.vm)
--- a/src/endivelug/forwarding/peer_messages.py
+++ b/src/endivelug/forwarding/peer_messages.py
@@ -132,6 +132,8 @@
         if they have not changed.
     registry_lost : bool
         Whether the sender cannot reach the registry of upstreams.
+    follows_store : bool
+        Whether the sender follows the store itself, and the store answers.
     rows_age_s : float
         Time since the sender's rows were last known to be current.
     lease_s : float
@@ -153,6 +155,7 @@
     vms: int
     relays: list[str]
     registry_lost: bool
+    follows_store: bool
     rows_age_s: float
     lease_s: float
     tables: list[TableVersion]
--- a/src/endivelug/forwarding/peer_reports.py
+++ b/src/endivelug/forwarding/peer_reports.py
@@ -117,6 +117,7 @@
         if report.relays or not report.relay:
             neighbour.relays = frozenset(report.relays)
         neighbour.registry_lost = report.registry_lost
+        neighbour.follows_store = report.follows_store
         neighbour.rows_current_at = now - report.rows_age_s
         neighbour.lease_until = now + report.lease_s if report.lease_s > 0 else 0.0
         neighbour.tables.update({item.table: item.version for item in report.tables})
--- a/src/endivelug/forwarding/peers.py
+++ b/src/endivelug/forwarding/peers.py
@@ -75,6 +75,7 @@
         self.identity = identity
         self.view = view
         self.budget = budget
+        self.store_connected = store_connected
         self.registry_connected = registry_connected
         self.clock = clock
         self.log = log
@@ -274,6 +275,7 @@
             relay=forwards,
             relays=tuple(sorted([self.identity.vm, *relays])) if forwards else (),
             registry_lost=not self.registry_connected(),
+            follows_store=self.follows_store() and self.store_connected(),
             rows_age_s=int(self.rows_source.rows_age_s()),
             holds_lease=self.builder.lease_remaining_s() > 0,
         )
--- a/src/endivelug/forwarding/report_builder.py
+++ b/src/endivelug/forwarding/report_builder.py
@@ -173,6 +173,7 @@
             vms=self._vms(audience),
             relays=[] if known else list(standing.relays),
             registry_lost=standing.registry_lost,
+            follows_store=standing.follows_store,
             rows_age_s=float(standing.rows_age_s),
             lease_s=round(self.lease_remaining_s(), 1),
             tables=tables,
@@ -216,6 +217,7 @@
             vms=self._vms(audience),
             relays=list(standing.relays),
             registry_lost=standing.registry_lost,
+            follows_store=standing.follows_store,
             rows_age_s=float(standing.rows_age_s),
             lease_s=round(self.lease_remaining_s(), 1),
             tables=[
@@ -249,6 +251,7 @@
             vms=1,
             relays=list(standing.relays),
             registry_lost=standing.registry_lost,
+            follows_store=standing.follows_store,
             rows_age_s=float(standing.rows_age_s),
             lease_s=round(self.lease_remaining_s(), 1),
             tables=[],
--- a/src/endivelug/forwarding/report_stream.py
+++ b/src/endivelug/forwarding/report_stream.py
@@ -38,6 +38,8 @@
         This VM and the relays that it is linked to; empty if it is not a relay.
     registry_lost : bool
         Whether this VM cannot reach the registry of upstreams.
+    follows_store : bool
+        Whether this VM follows the store itself, and the store answers.
     rows_age_s : int
         Time since the rows were last known to be current, in whole seconds, because the
         age matters only beyond a second.
@@ -48,6 +50,7 @@
     relay: bool
     relays: tuple[str, ...]
     registry_lost: bool
+    follows_store: bool
     rows_age_s: int
     holds_lease: bool = False
 
--- a/src/endivelug/forwarding/rows_source.py
+++ b/src/endivelug/forwarding/rows_source.py
@@ -10,6 +10,9 @@
 RELAY_SILENT_S = 0.8
 # A relay's rows that were not known to be current for longer may be stale.
 ROWS_AGE_MAX_S = 1.5
+# After its start, a VM that has read the tables waits this long for its links before it
+# follows the store.
+START_GRACE_S = 2.0
 
 
 class RowsSource:
@@ -37,20 +40,24 @@
         self.neighbours = neighbours
         self.store_connected = store_connected
         self.clock = clock
+        self.started_at = clock()
 
     def follows_store(self) -> bool:
         """Return whether this VM has to follow the store itself.
 
-        The members of a relay get their rows from the relay, so that the number of
-        calls to the store does not grow with the number of VMs.
+        The members of a relay get their rows from the relay, and the relays of a data
+        centre from the first of them, so that the number of calls to the store does not
+        grow with the number of VMs. A VM that has just started waits for its links.
         """
-        relay = self._relay_neighbour()
-        if relay is None:
-            return True
         now = self.clock()
+        source = self._source()
+        if source is None:
+            has_joined = bool(self.overlay.registered)
+            is_first_relay = has_joined and self.overlay.is_relay
+            return is_first_relay or now >= self.started_at + START_GRACE_S
         return (
-            now - relay.last_received_at > RELAY_SILENT_S
-            or now - relay.rows_current_at > ROWS_AGE_MAX_S
+            now - source.last_received_at > RELAY_SILENT_S
+            or now - source.rows_current_at > ROWS_AGE_MAX_S
         )
 
     def rows_age_s(self) -> float:
@@ -63,7 +70,7 @@
 
     def apply_registry_state(self, vm: str, neighbour: Neighbour) -> None:
         """Adopt from the relay whether the registry is lost."""
-        if self._relay_neighbour() is not neighbour or self.follows_store():
+        if self._source() is not neighbour or self.follows_store():
             if (
                 vm == self.overlay.relay
                 and neighbour.reported
@@ -77,9 +84,21 @@
         else:
             self.view.registry.record_registry_regained(now=self.clock())
 
-    def _relay_neighbour(self) -> Neighbour | None:
-        """Return the relay of this VM, or None if it has none or is a relay itself."""
-        if self.overlay.is_relay or self.overlay.relay is None:
-            return None
-        neighbour = self.neighbours.get(self.overlay.relay)
+    def _source(self) -> Neighbour | None:
+        """Return the VM whose rows this one uses, or None if there is none."""
+        if self.overlay.is_relay:
+            return self._first_relay()
+        neighbour = self.neighbours.get(self.overlay.relay or "")
         return neighbour if neighbour is not None and neighbour.is_relay else None
+
+    def _first_relay(self) -> Neighbour | None:
+        """Return the first relay of the data centre, unless it is this VM.
+
+        It must follow the store itself: two relays that rely on each other would both
+        have outdated rows.
+        """
+        for name in self.overlay.preceding_relays(now=self.clock()):
+            neighbour = self.neighbours.get(name)
+            if neighbour is not None and neighbour.follows_store:
+                return neighbour
+        return None
--- a/src/endivelug/forwarding/state_sync.py
+++ b/src/endivelug/forwarding/state_sync.py
@@ -15,6 +15,8 @@
 RETRY_MAX_S = 0.8
 # Interval of the check for instances that did not register again after an outage.
 EXPIRE_S = 0.25
+# Pause after a change, which is often the first of several.
+CHANGE_PAUSE_S = 0.1
 # Every heartbeat rewrites the registration, so with many instances the feed always has
 # rows. The pause fetches several heartbeats with one call, and delays changes as much.
 HEARTBEAT_PAUSE_MIN_S = 0.25
@@ -82,7 +84,9 @@
                     page = await self.store.changes(table, after=after, wait_s=wait_s)
                     self._feed_regained(table)
                     changed = self.view.apply(page.rows, source="store")
-                    if page.rows and not changed:
+                    if changed:
+                        await asyncio.sleep(CHANGE_PAUSE_S)
+                    elif page.rows:
                         # Only heartbeats; let several collect for the next call.
                         await asyncio.sleep(self._heartbeat_pause_s())
                 after = page.version
--- a/src/endivelug/forwarding/vm_join.py
+++ b/src/endivelug/forwarding/vm_join.py
@@ -10,6 +10,8 @@
 
 # Interval at which VMs that follow the store read the list of VMs.
 REFRESH_S = 20.0
+# Delay before the first links are dialled.
+DIAL_DELAY_S = 0.15
 
 
 class VmJoin:
@@ -63,12 +65,14 @@
 
     async def _join(self) -> None:
         identity = self.peers.identity
-        identity.secret = await self.rows.link_secret()
-        await self.peers.listen(host=self.host, port=self.port)
-        listed = await self.rows.register(
+        joined = await self.rows.join(
             identity.vm,
             address=f"{self.host}:{self.port}",
             data_centre=identity.data_centre,
             cores=self.cores,
         )
-        self.peers.set_registered_vms(listed)
+        identity.secret = joined.secret
+        await self.peers.listen(host=self.host, port=self.port)
+        # VMs that start together are listening as well by then.
+        await asyncio.sleep(DIAL_DELAY_S)
+        self.peers.set_registered_vms(joined.vms)
--- a/tests/test_report_exchange.py
+++ b/tests/test_report_exchange.py
@@ -85,6 +85,7 @@
                 relay=self.is_relay,
                 relays=tuple(sorted([self.name, *relays])) if self.is_relay else (),
                 registry_lost=False,
+                follows_store=True,
                 rows_age_s=0,
             )
         )
