--- a/src/endivelug/forwarding/rows_source.py
+++ b/src/endivelug/forwarding/rows_source.py
@@ -12,7 +12,7 @@
 ROWS_AGE_MAX_S = 1.5
 # After its start, a VM that has read the tables waits this long for its links before it
 # follows the store.
-START_GRACE_S = 2.0
+START_GRACE_S = 0.8
 
 
 class RowsSource:
