Wait for the preferred engine of a prefix that is cached nowhere

Cause: after each announcement of weights every VM met prefixes that no cache had, and those that met the same one within the 0.3 s that a notice takes prefilled it on several engines; a second prefill is what the users price highest. Change: the bonus of the preferred engine is the prefill time of the shared segments that no cache has.

--- a/src/endivelug/forwarding/engine_choice.py
+++ b/src/endivelug/forwarding/engine_choice.py
@@ -43,8 +43,11 @@
 # engines.
 INTERFERENCE_WEIGHT = 0.15
 # Cost reduction for the preferred engine, which all routers compute alike, so that a
-# prompt that is cached nowhere gets prefilled on one engine.
+# prompt that is cached nowhere gets prefilled on one engine: a minimum, and a multiple
+# of the prefill time of the prompt's shared segments, which is what a second prefill
+# would waste.
 PREFERRED_BONUS_S = 0.08
+PREFERRED_BONUS_WEIGHT = 1.0
 # A backlog up to this length is always accepted, so that engines never sit idle.
 ALWAYS_ACCEPTED_BACKLOG_S = 0.15
 
@@ -92,12 +95,18 @@
 class Prompt:
     """Size of one request in tokens, and its target time to the first event.
 
-    ``waited_s`` is the time since it arrived.
+    Attributes
+    ----------
+    shared_tokens : int
+        Leading tokens that other prompts share and that no cache is known to have.
+    waited_s : float
+        Time since the request arrived.
     """
 
     prompt_tokens: int
     output_tokens: int
     target_s: float
+    shared_tokens: int = 0
     waited_s: float = 0.0
 
 
@@ -181,6 +190,10 @@
         Measured prefill rate of the service.
     """
     best: tuple[float, EngineState, float, int] | None = None
+    preferred_bonus_s = max(
+        PREFERRED_BONUS_S,
+        PREFERRED_BONUS_WEIGHT * prompt.shared_tokens / rate.tokens_per_s,
+    )
     best_blocked_cost = float("inf")
     blocked: Counter[WaitReason] = Counter()
     for engine in engines:
@@ -196,7 +209,7 @@
             INTERFERENCE_WEIGHT * engine.requests * uncached_tokens / rate.tokens_per_s
         )
         cost += 0.0 if engine.local else REMOTE_COST_S
-        cost -= PREFERRED_BONUS_S if engine.preferred else 0.0
+        cost -= preferred_bonus_s if engine.preferred else 0.0
         cost += 0.0 if engine.current else OLD_WEIGHTS_COST_S
         if not is_backlog_accepted(
             engine, prompt, uncached_tokens=uncached_tokens, rate=rate
--- a/src/endivelug/forwarding/placement.py
+++ b/src/endivelug/forwarding/placement.py
@@ -248,6 +248,7 @@
             prompt_tokens=request.prompt_tokens,
             output_tokens=request.output_tokens,
             target_s=call.route.target_s,
+            shared_tokens=_uncached_everywhere(request.prompt, states),
             waited_s=max(0.0, now - request.received_at),
         )
         choice = choose_engine(states, prompt, rate=self.prefill_rate(call.service))
@@ -315,3 +316,15 @@
             return 0.0
         tokens = call.request.prompt[-1].tokens if call.request.prompt else 0
         return BASE_LATENCY_S + tokens / self.prefill_rate(call.service).tokens_per_s
+
+
+def _uncached_everywhere(
+    segments: list[PromptSegment], engines: list[EngineState]
+) -> int:
+    """Return the shared tokens of a prompt that no engine has or can copy."""
+    shared = sum(segment.tokens for segment in segments[:-1])
+    known = max(
+        (max(engine.cached_tokens, engine.fetch_tokens) for engine in engines),
+        default=0,
+    )
+    return max(0, shared - known)
--- a/tests/test_engine_choice.py
+++ b/tests/test_engine_choice.py
@@ -114,3 +114,15 @@
     for _ in range(100):
         rate.observe(tokens=17_000, seconds=0.04 + 17_000 / 110_000)
     assert 90_000 < rate.tokens_per_s < 120_000
+
+
+# Guards against several engines that prefill the same prefix in the first seconds after
+# new weights were loaded: the VMs learn of each other's prefills only later.
+def test_a_shared_prefix_that_is_cached_nowhere_waits_for_its_preferred_engine():
+    backlog = int(0.2 * RATE.tokens_per_s)
+    preferred = make_engine_state("b", preferred=True, backlog_tokens=backlog)
+    engines = [make_engine_state("a"), preferred]
+    assert choose(engines).engine == "a"
+    assert choose(engines, shared_tokens=13_300).reasons == {WaitReason.BACKLOG: 1}
+    busy = make_engine_state("b", preferred=True, backlog_tokens=4 * backlog)
+    assert choose([engines[0], busy], shared_tokens=13_300).engine == "a"
