Bound the answers kept in memory, and count only whole events as progress

Cause: an upstream that sends bytes without end filled the memory of the router until the call's deadline (plain answers, errors, and answers of the store or of an engine's control interface); and a stalled stream whose engine sends a byte now and then was never left, since each byte began its pause anew. Ruled out: endless heads, events without end and endless answers to other requests were bounded already; their tests stay as proof. Slow streams in pieces are not cut. Change: one reader of whole bodies with a limit of 8 MiB for attempts and internal calls; the limit of a pause counts from the last complete event.

--- a/src/endivelug/forwarding/attempt.py
+++ b/src/endivelug/forwarding/attempt.py
@@ -15,7 +15,11 @@
     NotSent,
 )
 from endivelug.forwarding.cluster_view import ClusterView
-from endivelug.forwarding.connection_pool import MAX_IDLE_S, ConnectionPool
+from endivelug.forwarding.connection_pool import (
+    MAX_IDLE_S,
+    ConnectionPool,
+    read_body,
+)
 from endivelug.forwarding.front_server import Writer
 from endivelug.forwarding.placement import Placement
 from endivelug.forwarding.requests import (
@@ -234,15 +238,8 @@
         return call.may_run_again or (has_backup and call.streaming)
 
     async def _read_body(self, call: Call, connection: UpstreamConnection) -> bytes:
-        body = bytearray()
-        while True:
-            async with asyncio.timeout(max(0.0, self._remaining_s(call))):
-                event = await connection.next_event()
-            match event:
-                case BodyData(data=data):
-                    body += data
-                case BodyEnd():
-                    return bytes(body)
+        async with asyncio.timeout(max(0.0, self._remaining_s(call))):
+            return await read_body(connection)
 
     async def _relay_stream(
         self,
@@ -257,9 +254,11 @@
         splitter = call.splitter
         splitter.discard_partial()
         name, loads = placement.instance.name, self.view.loads
+        # Only complete events count as progress: an engine that stalls may still send a
+        # byte now and then.
+        progress_at = self.clock()
         while True:
-            now = self.clock()
-            deadline = attempt_limits.next_event_deadline(call, now=now)
+            deadline = attempt_limits.next_event_deadline(call, now=progress_at)
             event = await self._wait_for_event(
                 connection,
                 deadline=deadline,
@@ -275,6 +274,8 @@
                     if events:
                         call.record_event(now=self.clock())
                         await self._write_response(call, writer, head, b"".join(events))
+                        # After the write, which waits for a slow caller.
+                        progress_at = self.clock()
                 case BodyEnd():
                     if splitter.partial or not call.streaming:
                         await self._write_response(
--- a/src/endivelug/forwarding/connection_pool.py
+++ b/src/endivelug/forwarding/connection_pool.py
@@ -19,6 +19,9 @@
 # A connection is not reused within this time before the upstream's idle timeout.
 IDLE_MARGIN_S = 0.5
 MAX_IDLE_PER_ADDRESS = 64
+# Longest body of a response that is kept in memory as a whole. A faulty upstream may
+# send bytes without end.
+MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 
 
 @dataclass(slots=True, kw_only=True)
@@ -177,14 +180,27 @@
         return response
 
     async def _read_response(self, connection: UpstreamConnection) -> BufferedResponse:
-        head: ResponseHead | None = None
-        body = bytearray()
-        while True:
-            match await connection.next_event():
-                case ResponseHead() as received:
-                    head = received
-                case BodyData(data=data):
-                    body += data
-                case BodyEnd():
-                    assert head is not None
-                    return BufferedResponse(head=head, body=bytes(body))
+        head = await connection.next_event()
+        assert isinstance(head, ResponseHead)
+        return BufferedResponse(head=head, body=await read_body(connection))
+
+
+async def read_body(connection: UpstreamConnection) -> bytes:
+    """Return the rest of a response.
+
+    Raises
+    ------
+    UpstreamBroken
+        If it is incomplete or longer than ``MAX_RESPONSE_BYTES``.
+    """
+    body = bytearray()
+    while True:
+        match await connection.next_event():
+            case BodyData(data=data):
+                body += data
+                if len(body) > MAX_RESPONSE_BYTES:
+                    raise UpstreamBroken(
+                        "the answer is too long to be kept; look at the upstream"
+                    )
+            case BodyEnd():
+                return bytes(body)
