Expect a cache store to have the room that its configuration states

Cause: every store was taken to hold 10 million tokens, while those of the large site hold 3 million. A prefix that a store had evicted was still expected there, so it was never saved again and each engine that lacked it prefilled it again. Change: the configured capacity, with a margin; copies from a store count as uses; long last segments are announced, because they take the space of shared ones.

--- a/src/endivelug/forwarding/cache_tracker.py
+++ b/src/endivelug/forwarding/cache_tracker.py
@@ -11,8 +11,11 @@
 # twice the expected time.
 PREFILL_MARGIN_S = 0.5
 # Smaller segments are not announced: they are prefilled before the peers could learn of
-# it. Neither is the last segment of a prompt, which belongs to one request.
+# it.
 MIN_ANNOUNCED_TOKENS = 256
+# The last segment belongs to one request; a long one is announced because it takes the
+# space of others.
+MIN_LAST_TOKENS = 1000
 # Announced instead of a duration if an engine stopped before the end of the prefill.
 PREFILL_STOPPED = -1.0
 
@@ -62,9 +65,8 @@
         """Record what an attempt has cached, or that its prefill stopped."""
         if placement.namespace is None:
             return
-        if isinstance(outcome, Delivered) and placement.save_to is not None:
-            # The engine saves the segments to the store once it has prefilled them.
-            self.record_cached(placement.save_to, placement.namespace, call)
+        if isinstance(outcome, Delivered):
+            self._record_store_use(call, placement)
         segments = _large_segments(placement.uncached_segments)
         if isinstance(outcome, Delivered) or not segments:
             return
@@ -74,14 +76,34 @@
         )
         self.announce(name, placement.namespace, segments, PREFILL_STOPPED)
 
+    def _record_store_use(self, call: Call, placement: Placement) -> None:
+        """Record segments that a store was sent, or that were copied from it."""
+        assert placement.namespace is not None
+        if placement.save_to is not None:
+            # The engine saves all segments to the store once it has prefilled them.
+            segments = call.request.prompt
+            self._record_use(placement.save_to, placement.namespace, segments)
+            return
+        stores = {store.address for store in self.view.cache_stores()}
+        if placement.fetch_from in stores:
+            shared = call.request.prompt[:-1]
+            self._record_use(placement.fetch_from, placement.namespace, shared)
+
     def record_cached(self, cache: str, namespace: str, call: Call) -> None:
         """Record that a cache holds the segments of a call, and announce large ones."""
-        segments = call.request.prompt
+        self._record_use(cache, namespace, call.request.prompt)
+
+    def _record_use(
+        self, cache: str, namespace: str, segments: list[PromptSegment]
+    ) -> None:
         self.view.caches.record_use(cache, namespace=namespace, segments=segments)
-        shared = _large_segments(segments[:-1])
-        if shared:
-            # Announced on each use, so that peers know the order of last use.
-            self.announce(cache, namespace, shared, 0.0)
+        # Announced on each use, so that peers know the order of last use.
+        announced = [
+            *_large_segments(segments[:-1]),
+            *(item for item in segments[-1:] if item.tokens >= MIN_LAST_TOKENS),
+        ]
+        if announced:
+            self.announce(cache, namespace, announced, 0.0)
 
 
 def _large_segments(segments: Iterable[PromptSegment]) -> list[PromptSegment]:
--- a/src/endivelug/forwarding/cluster_view.py
+++ b/src/endivelug/forwarding/cluster_view.py
@@ -12,7 +12,11 @@
 from endivelug.forwarding.desired_weights import AnnouncedVersion, DesiredWeights
 from endivelug.forwarding.instance_load import InstanceLoads
 from endivelug.forwarding.instances import Instance, InstanceRegistry
-from endivelug.forwarding.prompt_cache import PromptCaches
+from endivelug.forwarding.prompt_cache import (
+    ENGINE_CACHE_SHARE,
+    STORE_CACHE_SHARE,
+    PromptCaches,
+)
 from endivelug.forwarding.records import (
     ConfigurationRecord,
     InstanceRecord,
@@ -268,9 +272,9 @@
         before = self.configuration.version if self.configuration else None
         self.configuration = configuration
         for store in configuration.cache_stores:
-            # The store's actual capacity is not needed: the store evicts by itself, and
-            # a segment that it evicted costs a failed look-up of a millisecond.
-            self.caches.add_cache(store.address, capacity_tokens=10_000_000)
+            self.caches.add_cache(
+                store.address, capacity_tokens=STORE_CACHE_SHARE * store.cache_tokens
+            )
         for instance in self.registry.all():
             # The registry may have been read before the configuration.
             self._add_engine_cache(instance)
@@ -331,7 +335,8 @@
         service = self.configuration.services.get(instance.service)
         if service is not None and service.engine is not None:
             self.caches.add_cache(
-                instance.name, capacity_tokens=service.engine.cache_tokens
+                instance.name,
+                capacity_tokens=ENGINE_CACHE_SHARE * service.engine.cache_tokens,
             )
 
     def _remove_instance(self, instance: Instance, reason: str) -> None:
--- a/src/endivelug/forwarding/prompt_cache.py
+++ b/src/endivelug/forwarding/prompt_cache.py
@@ -10,7 +10,10 @@
 from dataclasses import dataclass, field
 
 # Share of an engine's memory that caches segments; running requests use the rest.
-CACHE_MEMORY_SHARE = 0.75
+ENGINE_CACHE_SHARE = 0.75
+# Share of a store's capacity that is relied on: the VMs see uses in another order, so
+# the store may evict a segment earlier than they expect.
+STORE_CACHE_SHARE = 0.9
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -60,12 +63,11 @@
 
     def add_cache(self, name: str, *, capacity_tokens: float) -> None:
         """Add a cache, or change its capacity."""
-        capacity = capacity_tokens * CACHE_MEMORY_SHARE
         cache = self.caches.get(name)
         if cache is None:
-            self.caches[name] = _Cache(capacity_tokens=capacity)
+            self.caches[name] = _Cache(capacity_tokens=capacity_tokens)
         else:
-            cache.capacity_tokens = capacity
+            cache.capacity_tokens = capacity_tokens
 
     def clear(self, name: str) -> None:
         """Remove all segments of a cache that restarted or dropped them."""
--- a/src/endivelug/forwarding/routes.py
+++ b/src/endivelug/forwarding/routes.py
@@ -107,12 +107,16 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class CacheStore:
-    """A store that caches the KV cache of prompt segments outside of engines."""
+    """A store that caches the KV cache of prompt segments outside of engines.
+
+    ``cache_tokens`` is its capacity.
+    """
 
     service: str
     address: str
     data_centre: str
     link_mbps: float
+    cache_tokens: int
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/endivelug/platform/records.py
+++ b/src/endivelug/platform/records.py
@@ -33,6 +33,8 @@
 CONFIGURATION_KEY = "config"
 WEIGHTS_PREFIX = "version/"
 STATES = ("ready", "draining")
+# Capacity of a cache store whose configuration does not state it, in tokens.
+DEFAULT_STORE_TOKENS = 1_000_000
 _ADDRESS = re.compile(r"\d{1,3}(\.\d{1,3}){3}:\d{1,5}")
 
 
@@ -151,6 +153,7 @@
                 address=str(item["kvStoreAddr"]),
                 data_centre=str(item.get("zone", "")),
                 link_mbps=float(item.get("linkMbps", 10000.0)),
+                cache_tokens=int(item.get("kvCapacityTokens", DEFAULT_STORE_TOKENS)),
             )
         )
         return
