--- a/src/endivelug/forwarding/state_sync.py
+++ b/src/endivelug/forwarding/state_sync.py
@@ -19,7 +19,7 @@
 CHANGE_PAUSE_S = 0.1
 # Every heartbeat rewrites the registration, so with many instances the feed always has
 # rows. The pause fetches several heartbeats with one call, and delays changes as much.
-HEARTBEAT_PAUSE_MIN_S = 0.25
+HEARTBEAT_PAUSE_MIN_S = 0.6
 HEARTBEAT_PAUSE_MAX_S = 1.0
 INSTANCES_PER_PAUSE_S = 60
 # Interval at which a VM that gets its rows from a relay checks whether it still does.
