Weigh a few engines drawn at random where many VMs have old reports

Change: a VM weighs as many engines as keep the requests that it cannot know of, from the rate of the whole fleet and the age of reports, below a quarter of an engine's slots, half of them from its data centre; engines that have, prefill or should prefill a long prefix belong to the first sample. The placement is split into what is known of the engines and the choice among them; the order lease has a module of its own. Tests take ports below the ephemeral range: a port found with port 0 was taken by another process before its use (test_a_stream_is_resumed_..., once).

--- a/measurements/_cluster.py
+++ b/measurements/_cluster.py
@@ -4,7 +4,6 @@
 import hashlib
 import json
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -16,17 +15,12 @@
 from pathlib import Path
 from typing import Any
 
+from measurements._ports import free_port
+
 START_TIMEOUT_S = 20.0
 SECRET = "link secret of a demonstration"
 
 
-def free_port() -> int:
-    """Return a loopback port that is currently free."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 def fetch(
     url: str,
     *,
--- a/measurements/partition.py
+++ b/measurements/partition.py
@@ -24,11 +24,11 @@
     Cluster,
     Vm,
     fetch,
-    free_port,
     running_cluster,
     wait_until,
 )
 from measurements._partition_child import CUT_FILE_VARIABLE
+from measurements._ports import free_port
 
 DATA_CENTRES = ["dc1", "dc2", "dc3"]
 VMS = 2
--- a/measurements/relays.py
+++ b/measurements/relays.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import socket
 import time
 from collections.abc import Iterator
 from typing import Any
@@ -18,6 +17,7 @@
 from endivelug.forwarding.retry_budget import SharedRetryBudget
 from endivelug.links import Identity
 from endivelug.platform.records import PlatformRecords
+from measurements._ports import free_port
 
 DATA_CENTRES = 4
 ROUTERS = 24
@@ -29,12 +29,6 @@
 FULL_MESH_RELAYS = 1000
 
 
-def _free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 def _make_router(number: int, data_centre: str, rng: random.Random) -> Peers:
     def log(event: str, **fields: Any) -> None:
         pass
@@ -92,7 +86,7 @@
         routers, registered = [], []
         for number in range(ROUTERS):
             router = _make_router(number, f"dc{number % DATA_CENTRES}", rng)
-            port = _free_port()
+            port = free_port()
             await router.listen(host="127.0.0.1", port=port)
             routers.append(router)
             registered.append(
--- a/src/endivelug/forwarding/cache_lookup.py
+++ b/src/endivelug/forwarding/cache_lookup.py
@@ -1,5 +1,6 @@
 """What is cached of a prompt, where it can be copied from, and where it is saved."""
 
+import random
 from collections.abc import Callable
 
 from endivelug.forwarding.calls import Call
@@ -96,6 +97,24 @@
             tokens += segment.tokens
         return tokens
 
+    def engine_for_prefix(
+        self, call: Call, namespace: str, engines: list[str], *, rng: random.Random
+    ) -> str | None:
+        """Return an engine that prefills the first segment of a prompt, or has it."""
+        first, now = call.request.prompt[0], self.clock()
+        prefilling = self.view.caches.prefilling_engine(
+            namespace=namespace, segment_id=first.segment_id, now=now
+        )
+        if prefilling in engines:
+            return prefilling
+        cached = self.view.caches.cached_tokens
+        holders = [
+            name
+            for name in engines
+            if cached(name, namespace=namespace, segments=[first])
+        ]
+        return rng.choice(holders) if holders else None
+
     def is_prefilling_elsewhere(
         self, engine: str, namespace: str, segments: list[PromptSegment], reusable: int
     ) -> bool:
--- a/src/endivelug/forwarding/node.py
+++ b/src/endivelug/forwarding/node.py
@@ -22,6 +22,11 @@
 from endivelug.forwarding.instances import Instance
 from endivelug.forwarding.node_metrics import NodeMetrics
 from endivelug.forwarding.node_settings import NodeSettings
+from endivelug.forwarding.order_lease import (
+    CLOCK_BOUND_S,
+    LEASE_RENEW_S,
+    make_order_lease,
+)
 from endivelug.forwarding.peer_messages import NoticeKind
 from endivelug.forwarding.peers import Peers
 from endivelug.forwarding.placement import OLD_WEIGHTS_MARGIN_S, Placement, Placer
@@ -34,16 +39,9 @@
 from endivelug.forwarding.vm_join import VmJoin
 from endivelug.forwarding.vm_rows import VmRows
 from endivelug.forwarding.weights_order_sender import OrderGiver
-from endivelug.forwarding.weights_rollout import ORDER_TIMEOUT_S
 from endivelug.lease_keeper import LeaseKeeper, boot_clock
-from endivelug.leases import Lease
 from endivelug.links import Identity
 
-# Duration of the order lease; it is renewed three times before it expires. The time
-# left before a renewal exceeds the time limit of an order.
-ORDER_LEASE_S = 1.5
-LEASE_RENEW_S = 0.5
-CLOCK_BOUND_S = 0.1
 # The platform sends new connections for this long after the readiness check begins to
 # fail: it checks once a second and acts on the second failure.
 READINESS_NOTICE_S = 2.3
@@ -61,27 +59,6 @@
 Job = Callable[[], Coroutine[Any, Any, None]]
 
 
-def make_order_lease(*, vm: str, checks_fencing: bool, lease_s: float) -> Lease:
-    """Return the lease under which a VM orders weights.
-
-    Parameters
-    ----------
-    checks_fencing : bool
-        Whether engines reject orders with an old fencing number. If not, the time
-        between two holders keeps their orders apart.
-    lease_s : float
-        Time within which no two VMs may order the same engine.
-    """
-    return Lease(
-        data_centre="all",
-        vm=vm,
-        lease_s=ORDER_LEASE_S,
-        clock_bound_s=CLOCK_BOUND_S,
-        order_timeout_s=0.0 if checks_fencing else ORDER_TIMEOUT_S,
-        handover_gap_s=0.0 if checks_fencing else lease_s + CLOCK_BOUND_S,
-    )
-
-
 class Node:
     """One router process.
 
@@ -128,7 +105,9 @@
             data_centre=settings.data_centre,
             weights_limit_s=settings.weights_limit_s,
             clock=self.clock,
+            rng=rng,
         )
+        self.placer.fleet.requests_per_s = self._requests_per_s
         self.dispatcher = Dispatcher(placer=self.placer, clock=self.clock)
         self.view.on_change = self.dispatcher.schedule_assignment
         self.sync = StateSync(
@@ -313,13 +292,12 @@
             await asyncio.sleep(SWEEP_S)
             self.pool.close_expired()
             self.view.forget_idle_loads()
-            self._update_vm_counts()
+            # A VM that is partitioned from this one still spends its share of the budget.
+            self.budget.vms = self.peers.max_vms
+            self.placer.fleet.vms = self.peers.vms
 
-    def _update_vm_counts(self) -> None:
-        """Update the number of VMs that share the retry budget and the engines."""
-        # A VM that is partitioned from this one still spends its share of the budget.
-        self.budget.vms = self.peers.max_vms
-        self.placer.vms = self.peers.vms
+    def _requests_per_s(self, service: str) -> float:
+        return self.budget.requests_per_s(service, now=self.clock())
 
     def _is_candidate(self) -> bool:
         """Return whether this VM should try to acquire the order lease.
@@ -394,8 +372,7 @@
 
     async def _shut_down(self) -> None:
         """Release the order lease, finish the requests in progress and close."""
-        now = self.clock()
-        end_at = now + self.settings.grace_s - SHUTDOWN_MARGIN_S
+        end_at = self.clock() + self.settings.grace_s - SHUTDOWN_MARGIN_S
         self.stopping = self.orders.stopping = self.front_server.closing = True
         self.log("stopping", in_progress=len(self.front_server.tasks))
         await self.lease_keeper.resign()
--- a/src/endivelug/forwarding/placement.py
+++ b/src/endivelug/forwarding/placement.py
@@ -1,18 +1,23 @@
 """Selects an instance for a call from the loads, weights and caches of a service."""
 
+import random
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
-from endivelug import _rendezvous
 from endivelug.forwarding.cache_lookup import (
-    LONG_SEGMENT_TOKENS,
     CacheLookup,
     uncached_shared,
 )
 from endivelug.forwarding.calls import Call
 from endivelug.forwarding.cluster_view import ClusterView
-from endivelug.forwarding.copy_sources import CopySource, CopySources
+from endivelug.forwarding.copy_sources import CopySources
+from endivelug.forwarding.engine_candidates import (
+    Candidate,
+    EngineCandidates,
+    Fleet,
+    UsableEngine,
+)
 from endivelug.forwarding.engine_choice import (
     BASE_LATENCY_S,
     Choice,
@@ -72,20 +77,6 @@
     continue_at: str | None = None
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class _Candidate:
-    """An engine that may serve a call.
-
-    ``reusable_tokens`` are the leading tokens that it caches, prefills or can copy.
-    """
-
-    instance: Instance
-    version: int
-    namespace: str
-    source: CopySource
-    reusable_tokens: int
-
-
 class Placer:
     """Chooses instances for calls.
 
@@ -95,6 +86,13 @@
         Data centre of this VM.
     weights_limit_s : float
         Time after which no request may start on weights that were replaced.
+    rng : random.Random
+        Source of the samples of engines.
+
+    Attributes
+    ----------
+    fleet : Fleet
+        Size and traffic of all VMs; the owner keeps it up to date.
     """
 
     def __init__(
@@ -104,14 +102,23 @@
         data_centre: str,
         weights_limit_s: float,
         clock: Callable[[], float],
+        rng: random.Random,
     ) -> None:
         self.view = view
         self.data_centre = data_centre
-        self.weights_limit_s = weights_limit_s
         self.clock = clock
-        self.vms = 1
-        self.lookup = CacheLookup(view=view, clock=clock)
         self.rates: dict[str, PrefillRate] = {}
+        self.fleet = Fleet()
+        self.lookup = CacheLookup(view=view, clock=clock)
+        self.engines = EngineCandidates(
+            view=view,
+            lookup=self.lookup,
+            fleet=self.fleet,
+            data_centre=data_centre,
+            weights_usable_s=weights_limit_s - OLD_WEIGHTS_MARGIN_S,
+            clock=clock,
+            rng=rng,
+        )
 
     def prefill_rate(self, service: str) -> PrefillRate:
         """Return the measured prefill rate of a service's engines."""
@@ -142,7 +149,9 @@
     ) -> list[tuple[Instance, InstanceLoad]]:
         """Return the instances that take requests; count the others as blocked."""
         now = self.clock()
-        connections = max(1, int(CONNECTION_SHARE * service.max_connections / self.vms))
+        connections = max(
+            1, int(CONNECTION_SHARE * service.max_connections / self.fleet.vms)
+        )
         available = []
         for instance in self.view.registry.of_service(service.name):
             load = self.view.loads.of(instance.name)
@@ -184,64 +193,37 @@
         candidates: list[tuple[Instance, InstanceLoad]],
         blocked: Counter[WaitReason],
     ) -> Placement | NoPlacement:
-        now = self.clock()
+        usable = self.engines.usable_engines(call, candidates, blocked)
+        for sample in self.engines.samples(call, limits, usable):
+            result = self._place_on(call, limits, sample)
+            if isinstance(result, Placement):
+                return result
+            blocked.update(result.reasons)
+        # The caller adds what blocks the instances.
+        return NoPlacement()
+
+    def _place_on(
+        self, call: Call, limits: EngineLimits, engines: list[UsableEngine]
+    ) -> Placement | NoPlacement:
+        """Return the placement on the best of some engines."""
         request = call.request
-        assert request.model is not None
-        desired = self.view.desired_weights.get(request.model)
-        preferred = self._preferred_engine(call, candidates)
+        preferred = self.engines.preferred_engine(
+            call, [item.instance for item in engines]
+        )
         states: list[EngineState] = []
-        by_name: dict[str, _Candidate] = {}
+        by_name: dict[str, Candidate] = {}
         sources: dict[str, CopySources] = {}
-        for instance, load in candidates:
-            version = self.view.weights_of(instance, request.model)
-            if version is None:
-                blocked[WaitReason.NO_MODEL] += 1
-                continue
-            current = desired is None or version >= desired.version
-            usable_s = self.weights_limit_s - OLD_WEIGHTS_MARGIN_S
-            if desired and now >= desired.expires_at(version, after_s=usable_s):
-                blocked[WaitReason.OUTDATED] += 1
-                continue
-            namespace = self._namespace(call, version)
+        for item in engines:
+            namespace = self.engines.namespace(call, item.version)
             if namespace not in sources:
                 sources[namespace] = self.lookup.sources(call, namespace, limits)
-            source = sources[namespace].best_for(
-                address=instance.address,
-                data_centre=instance.data_centre,
-                cached_tokens=self.view.caches.cached_tokens(
-                    instance.name, namespace=namespace, segments=request.prompt
-                ),
-            )
-            total = self.view.loads.total(instance.name)
-            cached = self.lookup.leading_tokens(
-                instance.name, namespace, request.prompt
-            )
-            reusable_tokens = max(cached, source.tokens)
-            by_name[instance.name] = _Candidate(
-                instance=instance,
-                version=version,
-                namespace=namespace,
-                source=source,
-                reusable_tokens=reusable_tokens,
+            candidate = self.engines.candidate(
+                call, item, namespace, sources[namespace]
             )
+            by_name[item.instance.name] = candidate
             states.append(
-                EngineState(
-                    name=instance.name,
-                    local=instance.data_centre == self.data_centre,
-                    current=current,
-                    requests=total.requests,
-                    backlog_tokens=total.uncached_tokens,
-                    memory_tokens=total.memory_tokens,
-                    slots=limits.slots,
-                    cache_tokens=limits.cache_tokens,
-                    cached_tokens=cached,
-                    fetch_tokens=source.tokens,
-                    fetch_s=source.seconds,
-                    slowdown=load.current_slowdown(now=now),
-                    preferred=instance.name == preferred,
-                    prefilling_elsewhere=self.lookup.is_prefilling_elsewhere(
-                        instance.name, namespace, request.prompt, reusable_tokens
-                    ),
+                self.engines.engine_state(
+                    call, limits, item, candidate, preferred=preferred
                 )
             )
         prompt = Prompt(
@@ -249,7 +231,7 @@
             output_tokens=request.output_tokens,
             target_s=call.route.target_s,
             shared_tokens=_uncached_everywhere(request.prompt, states),
-            waited_s=max(0.0, now - request.received_at),
+            waited_s=max(0.0, self.clock() - request.received_at),
         )
         choice = choose_engine(states, prompt, rate=self.prefill_rate(call.service))
         if isinstance(choice, NoPlacement):
@@ -258,25 +240,28 @@
         placement = self._placement(call, choice, candidate)
         if not should_back_up(call):
             return placement
-        backups = [
+        backup = self._choose_backup(choice, states, by_name)
+        return replace(placement, backup=backup)
+
+    def _choose_backup(
+        self, choice: Choice, states: list[EngineState], by_name: dict[str, Candidate]
+    ) -> Instance | None:
+        chosen = by_name[choice.engine]
+        engines = [
             BackupEngine(
                 name=state.name,
                 same_data_centre=by_name[state.name].instance.data_centre
-                == candidate.instance.data_centre,
+                == chosen.instance.data_centre,
                 free_tokens=state.cache_tokens - state.memory_tokens,
             )
             for state in states
             if state.name != choice.engine
-            and by_name[state.name].version == candidate.version
+            and by_name[state.name].version == chosen.version
         ]
-        name = choose_backup(backups)
-        if name is None:
-            return placement
-        return replace(placement, backup=by_name[name].instance)
+        name = choose_backup(engines)
+        return by_name[name].instance if name is not None else None
 
-    def _placement(
-        self, call: Call, choice: Choice, candidate: _Candidate
-    ) -> Placement:
+    def _placement(self, call: Call, choice: Choice, candidate: Candidate) -> Placement:
         request = call.request
         return Placement(
             instance=candidate.instance,
@@ -292,24 +277,6 @@
             save_to=self.lookup.save_address(call, candidate.namespace),
         )
 
-    def _namespace(self, call: Call, version: int) -> str:
-        # An isolated organisation has its own cache namespace; all others share one.
-        organisation = call.organisation
-        owner = ""
-        if organisation is not None and organisation.isolated:
-            owner = organisation.name
-        return f"{call.request.model}/{version}/{owner}"
-
-    def _preferred_engine(
-        self, call: Call, candidates: list[tuple[Instance, InstanceLoad]]
-    ) -> str | None:
-        """Return the engine that all routers prefer for a long first segment."""
-        segments = call.request.prompt
-        if not segments or segments[0].tokens < LONG_SEGMENT_TOKENS or not candidates:
-            return None
-        names = [instance.name for instance, _ in candidates]
-        return _rendezvous.owner(f"prompt:{segments[0].segment_id}", names)
-
     def idle_first_byte_s(self, call: Call) -> float:
         """Return the expected time to the first byte on an idle instance."""
         if not call.route.generates:
--- a/src/endivelug/forwarding/retry_budget.py
+++ b/src/endivelug/forwarding/retry_budget.py
@@ -130,6 +130,11 @@
         allowance = used + (left - used) / divisor if left > used else 0.0
         return max(min(share, left), allowance)
 
+    def requests_per_s(self, service: str, *, now: float) -> float:
+        """Return the rate of the requests of all VMs in the window."""
+        own = self._counts_of(service).requests.total(now=now)
+        return (own + self.neighbours.total(service).requests) / self.window_s
+
     def own(self, service: str, *, now: float) -> RetryCount:
         """Return the counts of this VM."""
         counts = self._counts_of(service)
--- a/tests/order_simulation.py
+++ b/tests/order_simulation.py
@@ -13,7 +13,7 @@
     UpstreamBroken,
     UpstreamUnreachable,
 )
-from endivelug.forwarding.node import ORDER_LEASE_S, make_order_lease
+from endivelug.forwarding.order_lease import LEASE_RENEW_S, make_order_lease
 from endivelug.forwarding.weights_order_sender import OrderGiver
 from endivelug.forwarding.weights_rollout import EngineReport, OrderReply
 from endivelug.lease_keeper import LeaseKeeper
@@ -185,7 +185,7 @@
         self.keeper = LeaseKeeper(
             table=_RowOfVm(row=row, vm=self),
             lease=self.lease,
-            renew_s=ORDER_LEASE_S / 3,
+            renew_s=LEASE_RENEW_S,
             rng=rng,
             clock=self.clock,
         )
--- a/tests/test_forwarding_path.py
+++ b/tests/test_forwarding_path.py
@@ -3,10 +3,10 @@
 import asyncio
 import contextlib
 import random
-import socket
 import time
 
 import pytest
+from measurements._ports import free_port
 
 from endivelug.forwarding.node import Node
 from endivelug.forwarding.node_settings import NodeSettings
@@ -22,12 +22,6 @@
 PROMPT = {"X-Model": "m", "X-Token-Usage": "60,5", "X-Prompt-Prefix": "aa:40,bb:20"}
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 def make_settings(store_address, **changes):
     values = {
         "vm": "vm1",
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -3,6 +3,8 @@
 import random
 import time
 
+from measurements._ports import free_port
+
 from endivelug.forwarding.cluster_view import ClusterView
 from endivelug.forwarding.overlay import RegisteredVm
 from endivelug.forwarding.peer_messages import NoticeKind
@@ -18,7 +20,7 @@
     load_tables,
     stored_row,
 )
-from test_forwarding_path import free_port, wait_until
+from test_forwarding_path import wait_until
 
 
 def make_peers(vm, secret=b"s", data_centre="dc1"):
--- a/tests/test_relayed_reports.py
+++ b/tests/test_relayed_reports.py
@@ -5,6 +5,8 @@
 import time
 from dataclasses import replace
 
+from measurements._ports import free_port
+
 from endivelug.forwarding import overlay
 from endivelug.forwarding.instance_load import Work
 from endivelug.forwarding.overlay import RegisteredVm
@@ -13,7 +15,7 @@
 from endivelug.forwarding.prompt_cache import PromptSegment
 from endivelug.forwarding.row_store import StoredRow
 from forwarding_builders import configuration_document, load_tables, stored_row
-from test_forwarding_path import free_port, wait_until
+from test_forwarding_path import wait_until
 from test_peers import make_peers
 
 
