--- a/src/endivelug/forwarding/node.py
+++ b/src/endivelug/forwarding/node.py
@@ -292,7 +292,7 @@
             await asyncio.sleep(SWEEP_S)
             self.pool.close_expired()
             self.view.forget_idle_loads()
-            # A VM that is partitioned from this one still spends its share of the budget.
+            # A VM that is partitioned from this one still spends its share.
             self.budget.vms = self.peers.max_vms
             self.placer.fleet.vms = self.peers.vms
 
