Connect to numeric addresses without a look-up in a thread

All addresses of upstreams and platform are numeric. Change: a resolver that returns numeric addresses at once, for the clients of the table, the object store and services.

--- a/src/endivelug/object_store.py
+++ b/src/endivelug/object_store.py
@@ -5,6 +5,7 @@
 
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 
+from endivelug._address_resolver import AddressResolver
 from endivelug.exceptions import ObjectStoreUnavailable
 
 
@@ -36,7 +37,10 @@
         self.tls = tls
         self._headers = {"Authorization": f"Bearer {credential}"} if credential else {}
         self._client = AsyncHTTPClient(
-            force_instance=True, max_clients=16, max_body_size=256 * 1024 * 1024
+            force_instance=True,
+            max_clients=16,
+            max_body_size=256 * 1024 * 1024,
+            resolver=AddressResolver(),
         )
 
     async def put(self, name: str, body: bytes) -> None:
--- a/src/endivelug/service_client.py
+++ b/src/endivelug/service_client.py
@@ -18,6 +18,7 @@
 from tornado.simple_httpclient import HTTPTimeoutError, SimpleAsyncHTTPClient
 from tornado.tcpclient import TCPClient
 
+from endivelug._address_resolver import AddressResolver
 from endivelug.exceptions import UpstreamBroken, UpstreamUnreachable
 
 MAX_CONCURRENT_CALLS = 1024
@@ -95,7 +96,7 @@
     """
 
     def __init__(self, guard: Callable[[], None] | None = None) -> None:
-        super().__init__()
+        super().__init__(resolver=AddressResolver())
         self.guard = guard
 
     async def connect(self, *args: Any, **options: Any) -> IOStream:
--- a/src/endivelug/table.py
+++ b/src/endivelug/table.py
@@ -11,6 +11,7 @@
 
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 
+from endivelug._address_resolver import AddressResolver
 from endivelug._tls import client_context
 from endivelug.exceptions import TableOutcomeUnknown, TableUnavailable
 from endivelug.settings import PlatformSettings
@@ -134,7 +135,9 @@
         self._headers = {"Content-Type": "application/json"}
         if credential:
             self._headers["Authorization"] = f"Bearer {credential}"
-        self._client = AsyncHTTPClient(force_instance=True, max_clients=64)
+        self._client = AsyncHTTPClient(
+            force_instance=True, max_clients=64, resolver=AddressResolver()
+        )
 
     @classmethod
     def open(cls, platform: PlatformSettings) -> "Table":
