Log where a call was when its caller left, and a late event loop

Change: `caller-left` names the instance, the sends, whether the stream had begun and the age; `loop-late` and the metric `loop_late_seconds_max` tell a late event loop. No decision changes.

--- a/src/endivelug/forwarding/calls.py
+++ b/src/endivelug/forwarding/calls.py
@@ -35,6 +35,8 @@
         Whether the head of the response has been sent to the caller.
     continued : bool
         Whether the run was continued from its backup on another engine.
+    instance : str or None
+        Instance at which an attempt is in progress.
     first_event_at, last_event_at : float or None
         Times of the first and the last complete event of the stream.
     longest_pause_s : float
@@ -53,6 +55,7 @@
     excluded_instances: set[str] = field(default_factory=set)
     streaming: bool = False
     continued: bool = False
+    instance: str | None = None
     first_event_at: float | None = None
     last_event_at: float | None = None
     longest_pause_s: float = 0.0
--- a/src/endivelug/forwarding/node.py
+++ b/src/endivelug/forwarding/node.py
@@ -4,14 +4,15 @@
 import random
 import signal
 import time
-from collections.abc import Callable, Coroutine
-from typing import Any
+from collections.abc import Callable
 
 from endivelug.busiest import BusiestOrganisations
 from endivelug.forwarding.adapter import Platform
 from endivelug.forwarding.attempt import AttemptRunner
+from endivelug.forwarding.background_jobs import BackgroundJobs
 from endivelug.forwarding.cache_store_watch import CacheStoreWatch
 from endivelug.forwarding.cache_tracker import CacheTracker
+from endivelug.forwarding.call_recorder import CallRecorder
 from endivelug.forwarding.calls import Call
 from endivelug.forwarding.cluster_view import ClusterView
 from endivelug.forwarding.connection_pool import ConnectionPool
@@ -20,6 +21,7 @@
 from endivelug.forwarding.forwarder import Forwarder
 from endivelug.forwarding.front_server import FrontServer, Writer
 from endivelug.forwarding.instances import Instance
+from endivelug.forwarding.loop_watch import LoopWatch
 from endivelug.forwarding.node_metrics import NodeMetrics
 from endivelug.forwarding.node_settings import NodeSettings
 from endivelug.forwarding.order_lease import (
@@ -52,12 +54,8 @@
 # Additional delay of each further candidate before it tries to acquire the lease.
 CANDIDATE_DELAY_S = 0.6
 SWEEP_S = 1.0
-# Delay before a failed background job is restarted.
-RESTART_S = 0.5
 METRICS_PORT = 9464
 
-Job = Callable[[], Coroutine[Any, Any, None]]
-
 
 class Node:
     """One router process.
@@ -179,13 +177,14 @@
             rng=rng,
             log=log,
         )
+        self.loop_watch = LoopWatch(clock=self.clock, log=log)
         self.forwarder = self._make_forwarder()
         self.front_server = FrontServer(handler=self.forwarder.handle)
         self.readiness_server = FrontServer(handler=self._answer_ready)
         self.metrics_server = FrontServer(handler=self._answer_metrics)
         self.stopping = False
         self.vacant_since = self.clock()
-        self._tasks: list[asyncio.Task[None]] = []
+        self.jobs = BackgroundJobs(log=log)
 
     def _make_peers(self) -> Peers:
         return Peers(
@@ -224,10 +223,14 @@
             runner=runner,
             recovery=StreamRecovery(view=self.view, pool=self.pool, clock=self.clock),
             budget=self.budget,
-            metrics=self.metrics,
+            recorder=CallRecorder(
+                metrics=self.metrics,
+                clock=self.clock,
+                log=self.log,
+                queue_length=self.dispatcher.queue_length,
+            ),
             clock=self.clock,
             rng=self.rng,
-            log=self.log,
             refused=self.refused,
             on_avoid=self._announce_avoid,
             on_refused=self._announce_refused,
@@ -259,25 +262,12 @@
             self._sweep,
             self.silence_watch.run,
             self.cache_store_watch.run,
+            self.loop_watch.run,
         ):
-            self._spawn(job)
+            self.jobs.start(job)
         await stop.wait()
         await self._shut_down()
 
-    def _spawn(self, job: Job) -> None:
-        self._tasks.append(asyncio.create_task(self._supervise(job)))
-
-    async def _supervise(self, job: Job) -> None:
-        """Run a job; restart it if it fails, so that this VM's state stays current."""
-        while True:
-            try:
-                await job()
-                return
-            except Exception as error:
-                # Operators see the job's class and method names in this event.
-                self.log("job-failed", job=job.__qualname__, reason=repr(error))
-                await asyncio.sleep(RESTART_S)
-
     def _listen(self) -> None:
         self.readiness_server.listen(self.settings.ready)
         self.front_server.listen(self.settings.front)
@@ -366,6 +356,7 @@
             "lease_held": float(self.lease.remaining_s(boot_clock()) > 0),
             "log_lines_dropped": float(self.log.dropped_total),
             "connections_opened": float(self.pool.opened_total),
+            "loop_late_seconds_max": self.loop_watch.longest_s,
         }
         page = self.metrics.page(values)
         await writer.start(200, "", [("Content-Type", "text/plain")], page)
@@ -387,9 +378,7 @@
         await self._close()
 
     async def _close(self) -> None:
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.jobs.cancel()
         await self.peers.close()
         await self.orders.close()
         await self.front_server.close()
