Look whether the caller is still connected right before a request is sent

Cause: a router that is late reads a request whose caller has closed the connection by then. The handler placed the request and wrote it to an idle connection of an engine in one turn of the event loop; the end of the caller's connection, which lay in the kernel all the while, was read in the next turn. So every request that was read too late reached an engine first and was cancelled after.

--- a/src/endivelug/exceptions.py
+++ b/src/endivelug/exceptions.py
@@ -117,6 +117,10 @@
     """The object store did not respond; retry later."""
 
 
+class CallerLeft(EndivelugError):
+    """The caller closed its connection; drop the request."""
+
+
 class UpstreamUnreachable(EndivelugError):
     """No connection to the upstream was made, so nothing ran; use another upstream."""
 
--- a/src/endivelug/forwarding/attempt.py
+++ b/src/endivelug/forwarding/attempt.py
@@ -70,7 +70,14 @@
     async def run(
         self, call: Call, placement: Placement, writer: Writer
     ) -> AttemptOutcome:
-        """Send the call to the chosen instance and return how the attempt ended."""
+        """Send the call to the chosen instance and return how the attempt ended.
+
+        Raises
+        ------
+        CallerLeft
+            If the caller has closed its connection before the call was sent.
+        """
+        writer.check_connected()
         address = placement.instance.address
         idle_s = MAX_IDLE_S if call.repeatable else NON_REPEATABLE_MAX_IDLE_S
         connect_timeout_s = attempt_limits.connect_timeout_s(call, now=self.clock())
@@ -82,6 +89,8 @@
             return NotSent(reason=str(error))
         info: ResponseInfo | None = None
         try:
+            # Connecting may have taken a while.
+            writer.check_connected()
             try:
                 self._send(call, placement, connection)
             except UpstreamBroken as error:
--- a/src/endivelug/forwarding/forwarder.py
+++ b/src/endivelug/forwarding/forwarder.py
@@ -4,7 +4,7 @@
 import random
 from collections.abc import Callable
 
-from endivelug.exceptions import EndivelugError
+from endivelug.exceptions import CallerLeft, EndivelugError
 from endivelug.forwarding.attempt import AttemptRunner
 from endivelug.forwarding.attempt_limits import RESPONSE_MARGIN_S
 from endivelug.forwarding.call_recorder import CallRecorder, reason_of
@@ -123,6 +123,8 @@
         try:
             await self._serve(call, writer)
             ended = True
+        except CallerLeft:
+            pass
         finally:
             if not ended:
                 self.recorder.record_left(call)
--- a/src/endivelug/forwarding/front_server.py
+++ b/src/endivelug/forwarding/front_server.py
@@ -1,6 +1,7 @@
 """The HTTP/1.1 server for callers, built on tornado's server connections."""
 
 import asyncio
+import select
 from collections.abc import Awaitable, Callable
 from http.client import responses
 from typing import Any, cast
@@ -17,6 +18,7 @@
 )
 from tornado.iostream import StreamClosedError
 
+from endivelug.exceptions import CallerLeft
 from endivelug.forwarding.upstream_connection import Headers
 
 # Longer than the idle time that the configuration grants to callers; the limit of file
@@ -66,6 +68,25 @@
         """Send a chunk of the body."""
         await self._finish_write(self.connection.write(data))
 
+    def check_connected(self) -> None:
+        """Look whether the caller has closed its connection.
+
+        The event loop learns of it only in one of its next turns, and a busy one much
+        later.
+
+        Raises
+        ------
+        CallerLeft
+            If the caller has closed the connection.
+        """
+        stream: Any = getattr(self.connection, "stream", None)
+        if self.disconnected or stream is None or stream.closed():
+            raise CallerLeft("the connection is closed; drop the request")
+        poller = select.poll()
+        poller.register(stream.socket, select.POLLRDHUP)
+        if poller.poll(0):
+            raise CallerLeft("the caller closed the connection; drop the request")
+
     def finish(self) -> None:
         """End a complete response."""
         if not self.disconnected:
