Notice that a caller left while bytes after its request are unread

Cause: tornado reads the end of a connection only when its read buffer is empty. A caller that sends anything after its request, an empty line or the next request, and then leaves is not noticed until something is written to it; a wait for the first event, or for an answer with a length, goes on to its deadline.

Evidence: the new test, with an empty line and with a second request; without the watch the engine had not seen the end of its connection 0.5 s after the caller had closed its own ("the condition was not met in time").

Change: one poll in 0.2 s looks at the sockets of all requests in progress and cancels those whose callers have left, so the limit of half a second holds whatever the library reads. It needs one system call, however many requests there are.

--- a/src/endivelug/forwarding/front_server.py
+++ b/src/endivelug/forwarding/front_server.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import select
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from http.client import responses
 from typing import Any, cast
 
@@ -24,6 +24,9 @@
 # Longer than the idle time that the configuration grants to callers; the limit of file
 # descriptors of a VM already bounds the number of its idle connections.
 IDLE_TIMEOUT_S = 300.0
+# Tornado reads the end of a connection only once everything before it has been read, so
+# the callers of requests in progress are looked at in this interval too.
+CALLER_CHECK_INTERVAL_S = 0.2
 MAX_BODY_BYTES = 16 * 1024 * 1024
 MAX_HEADER_BYTES = 64 * 1024
 
@@ -79,12 +82,7 @@
         CallerLeft
             If the caller has closed the connection.
         """
-        stream: Any = getattr(self.connection, "stream", None)
-        if self.disconnected or stream is None or stream.closed():
-            raise CallerLeft("the connection is closed; drop the request")
-        poller = select.poll()
-        poller.register(stream.socket, select.POLLRDHUP)
-        if poller.poll(0):
+        if departed([self]):
             raise CallerLeft("the caller closed the connection; drop the request")
 
     def finish(self) -> None:
@@ -105,6 +103,27 @@
             self.disconnected = True
 
 
+def departed(writers: Iterable[Writer]) -> list[Writer]:
+    """Return the writers whose callers have closed their connections.
+
+    All are looked at in one system call.
+    """
+    closed: list[Writer] = []
+    by_descriptor: dict[int, Writer] = {}
+    poller = select.poll()
+    for writer in writers:
+        stream: Any = getattr(writer.connection, "stream", None)
+        if writer.disconnected or stream is None or stream.closed():
+            closed.append(writer)
+            continue
+        descriptor = stream.socket.fileno()
+        by_descriptor[descriptor] = writer
+        poller.register(descriptor, select.POLLRDHUP)
+    if by_descriptor:
+        closed += [by_descriptor[ready] for ready, _ in poller.poll(0)]
+    return closed
+
+
 def _default_reason(status: int) -> str:
     return responses.get(status, "Unknown")
 
@@ -146,8 +165,9 @@
         """Start the handler of the complete request."""
         writer = Writer(connection=self.connection, close_after=self.server.closing)
         task = asyncio.get_running_loop().create_task(self._handle(writer))
-        self.server.tasks.add(task)
-        task.add_done_callback(self.server.tasks.discard)
+        tasks = self.server.tasks
+        tasks[writer] = task
+        task.add_done_callback(lambda ended: tasks.pop(writer, None))
 
         def on_disconnect() -> None:
             writer.disconnected = True
@@ -169,7 +189,7 @@
     ----------
     closing : bool
         Whether each response asks the caller to close the connection.
-    tasks : set of asyncio.Task
+    tasks : dict of Writer to asyncio.Task
         Requests in progress.
     idle : set of _Request
         Readers of connections on which no request has begun.
@@ -178,7 +198,7 @@
     def __init__(self, *, handler: Handler) -> None:
         self.handler = handler
         self.closing = False
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.tasks: dict[Writer, asyncio.Task[None]] = {}
         self.idle: set[_Request] = set()
         self.server = HTTPServer(
             self,
@@ -200,6 +220,14 @@
     def on_close(self, server_conn: object) -> None:
         """Ignore the end of a connection; each request has its own close callback."""
 
+    async def watch_callers(self) -> None:
+        """Cancel the requests whose callers have left, until cancelled itself."""
+        while True:
+            await asyncio.sleep(CALLER_CHECK_INTERVAL_S)
+            for writer in departed(list(self.tasks)):
+                writer.disconnected = True
+                self.tasks[writer].cancel()
+
     def listen(self, address: str) -> None:
         """Listen on an IP address and port."""
         host, _, port = address.rpartition(":")
--- a/src/endivelug/forwarding/node.py
+++ b/src/endivelug/forwarding/node.py
@@ -263,6 +263,7 @@
             self.silence_watch.run,
             self.cache_store_watch.run,
             self.loop_watch.run,
+            self.front_server.watch_callers,
         ):
             self.jobs.start(job)
         await stop.wait()
--- a/tests/test_departed_callers.py
+++ b/tests/test_departed_callers.py
@@ -3,14 +3,20 @@
 import asyncio
 import socket
 
+import pytest
+
 from test_forwarding_path import KEY, PROMPT, metrics_port, run_scenario, wait_until
 
 __all__ = ["metrics_port"]
 
 
-def send_and_leave(system, *, request_id, target="/a/x", body=b"", pieces=1):
-    """Send a request and close the connection while the router reads nothing."""
+def connect(system):
+    """Connect to the router without a turn of the event loop."""
     host, _, port = system.node.settings.front.rpartition(":")
+    return socket.create_connection((host, int(port)))
+
+
+def request_bytes(request_id, *, body=b""):
     headers = {
         "Host": "h.example",
         "X-Request-Id": request_id,
@@ -19,11 +25,9 @@
         **KEY,
         **PROMPT,
     }
-    lines = [f"POST {target} HTTP/1.1"]
+    lines = ["POST /a/x HTTP/1.1"]
     lines += [f"{name}: {value}" for name, value in headers.items()]
-    data = "\r\n".join(lines).encode() + b"\r\n\r\n" + body
-    with socket.create_connection((host, int(port))) as connection:
-        connection.sendall(data)
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
 # Guards against requests that reach an upstream although their callers left while the
@@ -36,9 +40,32 @@
         await system.request(headers={**PROMPT, "X-Request-Id": "warm-up"})
         system.engines[0].script = hang
         for number in range(5):
-            send_and_leave(system, request_id=f"left{number}", body=b"x" * 20_000)
+            with connect(system) as connection:
+                connection.sendall(request_bytes(f"left{number}", body=b"x" * 20_000))
         await wait_until(lambda: system.log.events().count("caller-left") == 5)
         await asyncio.sleep(0.3)
         assert [run.id for run in system.attempts()] == ["warm-up"]
 
     run_scenario(scenario)
+
+
+# Guards against an engine that works on although its caller left, because bytes after
+# the request wait to be read before the end of the connection.
+@pytest.mark.parametrize("following", [b"\r\n", request_bytes("q2")])
+def test_bytes_after_a_request_do_not_hide_that_its_caller_left(following):
+    async def stream_nothing(exchange):
+        await exchange.start_stream()
+        await asyncio.sleep(5)
+
+    async def scenario(system):
+        engine = system.engines[0]
+        engine.script = stream_nothing
+        watch = asyncio.create_task(system.node.front_server.watch_callers())
+        with connect(system) as connection:
+            connection.sendall(request_bytes("q1") + following)
+            await wait_until(lambda: engine.exchanges)
+        await wait_until(lambda: engine.aborted == ["q1"], timeout_s=0.5)
+        await wait_until(lambda: "caller-left" in system.log.events())
+        watch.cancel()
+
+    run_scenario(scenario)
