End a response whose write to the caller failed

Cause: a failed write set a flag that nothing read. The relay of a stream read on and wrote on until the close callback came, and an answer whose only write had failed was logged and counted as delivered.

Evidence: test_a_failed_write_ends_the_response, which passed over the failed write before.

Where only a refusal was written, the server counts it (`callers_left_unserved`).

--- a/src/endivelug/forwarding/front_server.py
+++ b/src/endivelug/forwarding/front_server.py
@@ -99,8 +99,9 @@
     async def _finish_write(self, written: Awaitable[None]) -> None:
         try:
             await written
-        except StreamClosedError:
+        except StreamClosedError as error:
             self.disconnected = True
+            raise CallerLeft("the connection is closed; drop the request") from error
 
 
 def departed(writers: Iterable[Writer]) -> list[Writer]:
@@ -177,9 +178,12 @@
 
     async def _handle(self, writer: Writer) -> None:
         headers = list(self.headers.get_all())
-        await self.server.handler(
-            self.line.method, self.line.path, headers, bytes(self.body), writer
-        )
+        try:
+            await self.server.handler(
+                self.line.method, self.line.path, headers, bytes(self.body), writer
+            )
+        except CallerLeft:
+            self.server.left_total += 1
 
 
 class FrontServer(HTTPServerConnectionDelegate):
@@ -191,6 +195,8 @@
         Whether each response asks the caller to close the connection.
     tasks : dict of Writer to asyncio.Task
         Requests in progress.
+    left_total : int
+        Callers that left while an answer was written that the handler does not log.
     idle : set of _Request
         Readers of connections on which no request has begun.
     """
@@ -199,6 +205,7 @@
         self.handler = handler
         self.closing = False
         self.tasks: dict[Writer, asyncio.Task[None]] = {}
+        self.left_total = 0
         self.idle: set[_Request] = set()
         self.server = HTTPServer(
             self,
--- a/src/endivelug/forwarding/node.py
+++ b/src/endivelug/forwarding/node.py
@@ -358,6 +358,7 @@
             "log_lines_dropped": float(self.log.dropped_total),
             "connections_opened": float(self.pool.opened_total),
             "loop_late_seconds_max": self.loop_watch.longest_s,
+            "callers_left_unserved": float(self.front_server.left_total),
         }
         page = self.metrics.page(values)
         await writer.start(200, "", [("Content-Type", "text/plain")], page)
--- a/tests/test_departed_callers.py
+++ b/tests/test_departed_callers.py
@@ -4,7 +4,10 @@
 import socket
 
 import pytest
+from tornado.iostream import StreamClosedError
 
+from endivelug.exceptions import CallerLeft
+from endivelug.forwarding.front_server import Writer
 from test_forwarding_path import KEY, PROMPT, metrics_port, run_scenario, wait_until
 
 __all__ = ["metrics_port"]
@@ -69,3 +72,26 @@
         watch.cancel()
 
     run_scenario(scenario)
+
+
+class ClosedConnection:
+    """Connection of a caller on which every write fails."""
+
+    stream = None
+
+    def write(self, data):
+        written = asyncio.get_running_loop().create_future()
+        written.set_exception(StreamClosedError())
+        return written
+
+
+# Guards against a response that goes on, and is logged as delivered, after a write to
+# its caller has failed.
+def test_a_failed_write_ends_the_response():
+    async def run():
+        writer = Writer(connection=ClosedConnection(), close_after=False)
+        with pytest.raises(CallerLeft):
+            await writer.write(b"data")
+        assert writer.disconnected
+
+    asyncio.run(run())
