--- a/src/endivelug/forwarding/attempt.py
+++ b/src/endivelug/forwarding/attempt.py
@@ -97,6 +97,7 @@
                 return NotSent(reason=str(error))
             call.sends += 1
             call.runs += 1
+            call.events = 0
             outcome, info = await self._handle_response(
                 call, placement, connection, writer
             )
@@ -281,7 +282,7 @@
                     if splitter.overflow:
                         raise UpstreamBroken("an event has no end; look at the engine")
                     if events:
-                        call.record_event(now=self.clock())
+                        call.record_events(len(events), now=self.clock())
                         await self._write_response(call, writer, head, b"".join(events))
                         # After the write, which waits for a slow caller.
                         progress_at = self.clock()
--- a/src/endivelug/forwarding/call_recorder.py
+++ b/src/endivelug/forwarding/call_recorder.py
@@ -77,6 +77,7 @@
             instance=instance,
             ending=ending,
             reason=reason_of(outcome),
+            events=call.events,
             after_s=self._age_s(call),
         )
         self.metrics.record_failed_attempt(call, ending)
--- a/src/endivelug/forwarding/calls.py
+++ b/src/endivelug/forwarding/calls.py
@@ -41,6 +41,8 @@
         Times of the first and the last complete event of the stream.
     longest_pause_s : float
         Longest pause between two events.
+    events : int
+        Complete events received from the instance of the attempt in progress.
     """
 
     request: InboundRequest
@@ -59,10 +61,12 @@
     first_event_at: float | None = None
     last_event_at: float | None = None
     longest_pause_s: float = 0.0
+    events: int = 0
     splitter: EventSplitter = field(default_factory=EventSplitter)
 
-    def record_event(self, *, now: float) -> None:
+    def record_events(self, count: int, *, now: float) -> None:
         """Record that complete events of the stream have arrived."""
+        self.events += count
         if self.last_event_at is None:
             self.first_event_at = now
         else:
