Refuse prompts that crash engines, by evidence that all routers share

Cause: nothing connected a crash with the requests that the engine had just begun. Each request of the kind was sent, and sent once more after its crash, at whichever VM it came to. Class of fault: a request that kills its server is retried, and the evidence against it stays where it was seen.

Ruled out: crashes learned late (a connection is refused within a millisecond, and NotSent goes elsewhere); a choice of engines that repeats (each crash was at another one).

Change: a VM whose request breaks off before its second event connects to the engine anew; if that is refused, the engine has crashed, and the request and its shared segments are evidence. It goes to all VMs at once. Crashes at two moments with a segment in common, by two requests, block it; an answer anywhere clears it; one VM at a time tests it again.

--- a/measurements/relays.py
+++ b/measurements/relays.py
@@ -9,6 +9,7 @@
 
 from endivelug.forwarding import overlay
 from endivelug.forwarding.cluster_view import ClusterView
+from endivelug.forwarding.crash_suspects import CrashSuspects
 from endivelug.forwarding.instance_load import Work
 from endivelug.forwarding.overlay import RegisteredVm
 from endivelug.forwarding.peer_messages import NoticeKind
@@ -45,6 +46,7 @@
         view=ClusterView(records=PlatformRecords(), clock=clock, log=log),
         budget=SharedRetryBudget(ratio=0.2, slack=50.0, window_s=10.0),
         refused=RefusedCallers(),
+        suspects=CrashSuspects(vm=f"vm{number:03}"),
         lease_remaining_s=lambda: 0.0,
         ordered_engines=lambda: [],
         store_connected=lambda: True,
--- a/src/endivelug/exceptions.py
+++ b/src/endivelug/exceptions.py
@@ -125,6 +125,10 @@
     """No connection to the upstream was made, so nothing ran; use another upstream."""
 
 
+class UpstreamNotListening(UpstreamUnreachable):
+    """Nothing listens at the upstream's address, as after a crash; use another one."""
+
+
 class UpstreamBroken(EndivelugError):
     """The upstream failed after the request was sent; the request may have run."""
 
--- a/src/endivelug/forwarding/attempt.py
+++ b/src/endivelug/forwarding/attempt.py
@@ -10,6 +10,7 @@
     Call,
     Delivered,
     Failed,
+    GivenUp,
     Lost,
     NotRun,
     NotSent,
@@ -50,6 +51,11 @@
     on_started : callable
         Called with the call and its placement at the first byte of a successful
         response.
+    on_events : callable
+        Called with the call after events of its stream have arrived.
+    is_blocked : callable
+        Returns whether a call that was sent is to be given up before it is answered,
+        because its prompt turned out to crash engines.
     """
 
     def __init__(
@@ -60,12 +66,16 @@
         view: ClusterView,
         clock: Callable[[], float],
         on_started: Callable[[Call, Placement], None],
+        on_events: Callable[[Call], None],
+        is_blocked: Callable[[Call], bool],
     ) -> None:
         self.wire = wire
         self.pool = pool
         self.view = view
         self.clock = clock
         self.on_started = on_started
+        self.on_events = on_events
+        self.is_blocked = is_blocked
 
     async def run(
         self, call: Call, placement: Placement, writer: Writer
@@ -98,6 +108,7 @@
             call.sends += 1
             call.runs += 1
             call.events = 0
+            call.begun = False
             outcome, info = await self._handle_response(
                 call, placement, connection, writer
             )
@@ -105,6 +116,8 @@
         except UpstreamBroken as error:
             return Lost(reason=str(error), closed=True)
         except TimeoutError:
+            if self.is_blocked(call):
+                return GivenUp()
             return Lost(reason="no answer in time")
         finally:
             if info is not None:
@@ -170,6 +183,7 @@
             return Failed(head=head, body=body), info
         if not info.signed:
             return Lost(reason="the answer bears no signature"), None
+        call.begun = True
         if call.route.streaming:
             return await self._relay_stream(
                 call, placement, connection, writer, head, info
@@ -194,7 +208,10 @@
         event = await self._wait_for_event(
             connection,
             deadline=first_byte_deadline,
-            leave=lambda: self._is_engine_silent(placement, now, silence_timeout_s),
+            leave=lambda: (
+                self.is_blocked(call)
+                or self._is_engine_silent(placement, now, silence_timeout_s)
+            ),
         )
         assert isinstance(event, ResponseHead)
         return event
@@ -272,7 +289,10 @@
             event = await self._wait_for_event(
                 connection,
                 deadline=deadline,
-                leave=lambda: self._can_leave_unreachable(call, placement),
+                leave=lambda: (
+                    self.is_blocked(call)
+                    or self._can_leave_unreachable(call, placement)
+                ),
             )
             loads.record_byte(name, now=self.clock())
             match event:
@@ -283,6 +303,7 @@
                         raise UpstreamBroken("an event has no end; look at the engine")
                     if events:
                         call.record_events(len(events), now=self.clock())
+                        self.on_events(call)
                         await self._write_response(call, writer, head, b"".join(events))
                         # After the write, which waits for a slow caller.
                         progress_at = self.clock()
--- a/src/endivelug/forwarding/call_recorder.py
+++ b/src/endivelug/forwarding/call_recorder.py
@@ -7,6 +7,7 @@
     Call,
     Delivered,
     Failed,
+    GivenUp,
     Lost,
     NotRun,
     NotSent,
@@ -138,6 +139,8 @@
             return reason
         case Lost(reason=reason):
             return f"lost after it was sent: {reason}"
+        case GivenUp():
+            return "given up after it was sent: its prompt crashes engines"
         case Failed(head=head):
             return f"the upstream answered {head.status}"
         case Delivered():
--- a/src/endivelug/forwarding/calls.py
+++ b/src/endivelug/forwarding/calls.py
@@ -37,6 +37,12 @@
         Whether the run was continued from its backup on another engine.
     instance : str or None
         Instance at which an attempt is in progress.
+    begun : bool
+        Whether the instance of the last attempt had begun to answer.
+    tests_suspect : bool
+        Whether the call is sent to find out if its prompt still crashes engines.
+    recorded_answer : bool
+        Whether the prompt is recorded as one that was answered.
     first_event_at, last_event_at : float or None
         Times of the first and the last complete event of the stream.
     longest_pause_s : float
@@ -58,6 +64,9 @@
     streaming: bool = False
     continued: bool = False
     instance: str | None = None
+    begun: bool = False
+    tests_suspect: bool = False
+    recorded_answer: bool = False
     first_event_at: float | None = None
     last_event_at: float | None = None
     longest_pause_s: float = 0.0
@@ -74,6 +83,11 @@
             self.longest_pause_s = max(self.longest_pause_s, pause_s)
         self.last_event_at = now
 
+    @property
+    def shared_segments(self) -> list[str]:
+        """Ids of the prompt's segments but the last, which is the request's own."""
+        return [segment.segment_id for segment in self.request.prompt[:-1]]
+
     @property
     def repeatable(self) -> bool:
         """Whether the request may run again after a failed run."""
@@ -149,6 +163,11 @@
     closed: bool = False
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class GivenUp:
+    """The router ended the attempt, because the prompt turned out to crash engines."""
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Failed:
     """The upstream ran the request and responded with an error."""
@@ -157,4 +176,4 @@
     body: bytes
 
 
-AttemptOutcome = Delivered | NotRun | NotSent | Lost | Failed
+AttemptOutcome = Delivered | NotRun | NotSent | Lost | GivenUp | Failed
--- /dev/null
+++ b/src/endivelug/forwarding/crash_exchange.py
@@ -0,0 +1,153 @@
+"""Tells the other routers of crashes and of suspects that were cleared.
+
+News go over every link at once, and each VM passes on what it did not know, so they
+reach all VMs within some milliseconds, whichever links are up. A new neighbour gets
+everything that still counts.
+"""
+
+from collections.abc import Callable
+
+from endivelug.exceptions import LinkBusy, LinkClosed
+from endivelug.forwarding.cluster_view import LogLine
+from endivelug.forwarding.crash_suspects import CrashedRun, CrashSuspects
+from endivelug.forwarding.peer_messages import (
+    ClearedSuspect,
+    CrashedRunReport,
+    CrashNews,
+)
+from endivelug.links import Link
+
+# Items in one message; the newest are sent.
+MAX_ITEMS = 500
+
+
+class CrashExchange:
+    """Exchanges the evidence of crashes with the neighbours.
+
+    Parameters
+    ----------
+    links : dict of str to Link
+        Links by the name of the neighbour; the owner changes it.
+    """
+
+    def __init__(
+        self,
+        *,
+        suspects: CrashSuspects,
+        links: dict[str, Link],
+        clock: Callable[[], float],
+        log: LogLine,
+    ) -> None:
+        self.suspects = suspects
+        self.links = links
+        self.clock = clock
+        self.log = log
+
+    def record_crash(self, run: CrashedRun) -> None:
+        """Record a run that ended in a crash, and tell the neighbours."""
+        self._apply([run], [], source=None)
+
+    def clear(self, suspects: list[str]) -> None:
+        """Clear suspects that were answered, and tell the neighbours."""
+        now = self.clock()
+        self._apply([], [(suspect, now) for suspect in suspects], source=None)
+
+    def greet(self, link: Link) -> None:
+        """Tell a new neighbour everything that counts."""
+        now = self.clock()
+        runs = self.suspects.runs(now=now)
+        cleared = list(self.suspects.cleared.items())
+        if runs or cleared:
+            self._send(link, _news(runs, cleared, now))
+
+    def receive(self, link: Link, news: CrashNews) -> None:
+        """Apply the news of a neighbour, and pass on what is new."""
+        now = self.clock()
+        self._apply(
+            [_run_of(report, now) for report in news.runs],
+            [(item.suspect, now - max(0.0, item.age_s)) for item in news.cleared],
+            source=link,
+        )
+
+    def _apply(
+        self,
+        runs: list[CrashedRun],
+        cleared: list[tuple[str, float]],
+        *,
+        source: Link | None,
+    ) -> None:
+        now = self.clock()
+        before = {block.suspect for block in self.suspects.blocked(now=now)}
+        new_runs = [run for run in runs if self.suspects.record_crash(run, now=now)]
+        new_cleared = [
+            (suspect, at) for suspect, at in cleared if self._clear(suspect, at, source)
+        ]
+        self._log_changes(before, now)
+        if not new_runs and not new_cleared:
+            return
+        news = _news(new_runs, new_cleared, now)
+        for link in list(self.links.values()):
+            if link is not source:
+                self._send(link, news)
+
+    def _clear(self, suspect: str, at: float, source: Link | None) -> bool:
+        """Clear a suspect; return whether the neighbours have to be told."""
+        had_evidence = self.suspects.clear(suspect, at=at)
+        return had_evidence or source is None
+
+    def _log_changes(self, before: set[str], now: float) -> None:
+        blocked = {block.suspect: block for block in self.suspects.blocked(now=now)}
+        for name, block in blocked.items():
+            if name not in before:
+                self.log(
+                    "prompt-blocked",
+                    suspect=name,
+                    moments=block.moments,
+                    requests=block.requests,
+                    last_s=round(now - block.last_at, 3),
+                    test_in_s=round(block.test_at - now, 1),
+                )
+        for name in before.difference(blocked):
+            self.log("prompt-unblocked", suspect=name)
+
+    def _send(self, link: Link, news: CrashNews) -> None:
+        try:
+            link.send(news)
+        except (LinkBusy, LinkClosed) as error:
+            # Other links and the next greeting repeat the news.
+            self.log("peer-slow", peer=link.peer.vm, reason=str(error))
+
+
+def _news(
+    runs: list[CrashedRun], cleared: list[tuple[str, float]], now: float
+) -> CrashNews:
+    return CrashNews(
+        runs=[
+            CrashedRunReport(
+                instance=run.instance,
+                started_ms=run.started_ms,
+                vm=run.vm,
+                request=run.request,
+                segments=list(run.segments),
+                begun=run.begun,
+                age_s=round(now - run.at, 3),
+            )
+            for run in runs[-MAX_ITEMS:]
+        ],
+        cleared=[
+            ClearedSuspect(suspect=suspect, age_s=round(now - at, 3))
+            for suspect, at in cleared[-MAX_ITEMS:]
+        ],
+    )
+
+
+def _run_of(report: CrashedRunReport, now: float) -> CrashedRun:
+    return CrashedRun(
+        instance=report.instance,
+        started_ms=report.started_ms,
+        vm=report.vm,
+        request=report.request,
+        segments=tuple(report.segments),
+        begun=report.begun,
+        at=now - max(0.0, report.age_s),
+    )
--- /dev/null
+++ b/src/endivelug/forwarding/crash_watch.py
@@ -0,0 +1,156 @@
+"""Finds out whether an engine crashed when its connections broke, and reports it."""
+
+import asyncio
+from collections.abc import Callable
+
+from endivelug.exceptions import UpstreamNotListening, UpstreamUnreachable
+from endivelug.forwarding.calls import AttemptOutcome, Call, Delivered, Lost
+from endivelug.forwarding.cluster_view import LogLine
+from endivelug.forwarding.connection_pool import ConnectionPool
+from endivelug.forwarding.crash_exchange import CrashExchange
+from endivelug.forwarding.crash_suspects import Block, CrashedRun, CrashSuspects
+from endivelug.forwarding.instances import Instance
+from endivelug.forwarding.placement import Placement
+from endivelug.forwarding.refused_callers import request_digest
+from endivelug.forwarding.upstream_connection import connect
+
+# A process that has ended refuses connections at once; a cut one answers nothing.
+PROBE_TIMEOUT_S = 0.5
+# A call is not sent elsewhere for this long, so that what its own crash shows counts.
+PROBE_WAIT_S = 0.1
+# A run with more events is past its beginning: it did not crash its engine, and its
+# prompt crashes none.
+BEGINNING_EVENTS = 1
+
+
+class CrashWatch:
+    """Confirms crashes of engines, and keeps the suspects of them.
+
+    Parameters
+    ----------
+    on_crash : callable
+        Called with the name of an engine that refuses connections.
+    """
+
+    def __init__(
+        self,
+        *,
+        vm: str,
+        suspects: CrashSuspects,
+        exchange: CrashExchange,
+        pool: ConnectionPool,
+        on_crash: Callable[[str], None],
+        clock: Callable[[], float],
+        log: LogLine,
+    ) -> None:
+        self.vm = vm
+        self.suspects = suspects
+        self.exchange = exchange
+        self.pool = pool
+        self.on_crash = on_crash
+        self.clock = clock
+        self.log = log
+        self.lost_runs: dict[tuple[str, int], list[CrashedRun]] = {}
+        self.probes: dict[tuple[str, int], asyncio.Task[None]] = {}
+
+    def block_of(self, call: Call) -> Block | None:
+        """Return why a call must not be sent, or None.
+
+        A test of a suspect may be sent; it begins with this call.
+        """
+        digest = self._digest(call)
+        if digest is None or call.tests_suspect:
+            return None
+        now, segments = self.clock(), call.shared_segments
+        block = self.suspects.block_of(digest, segments, now=now)
+        if block is None or not self.suspects.may_test(digest, segments, now=now):
+            return block
+        call.tests_suspect = True
+        self.log("suspect-tested", request=call.request.id, suspect=block.suspect)
+        return None
+
+    def is_blocked(self, call: Call) -> bool:
+        """Return whether a call that was sent would not be sent now."""
+        digest = request_digest(call)
+        if digest is None or call.tests_suspect or call.events > BEGINNING_EVENTS:
+            return False
+        segments = call.shared_segments
+        return self.suspects.block_of(digest, segments, now=self.clock()) is not None
+
+    def record_events(self, call: Call) -> None:
+        """Record that more of a stream has arrived."""
+        if call.events > BEGINNING_EVENTS:
+            self._record_answer(call)
+
+    async def record_outcome(
+        self, call: Call, placement: Placement, outcome: AttemptOutcome
+    ) -> None:
+        """Record an answer, or check whether the engine crashed before it came."""
+        match outcome:
+            case Delivered():
+                self._record_answer(call)
+            case Lost(closed=True) if call.events <= BEGINNING_EVENTS:
+                await self._record_lost(call, placement.instance)
+
+    def _digest(self, call: Call) -> str | None:
+        """Return the digest of a request that may be suspected, or None."""
+        return request_digest(call) if self.suspects.suspects else None
+
+    def _record_answer(self, call: Call) -> None:
+        if call.recorded_answer:
+            return
+        call.recorded_answer = True
+        digest = request_digest(call)
+        if digest is not None:
+            cleared = self.suspects.record_answer(digest, call.shared_segments)
+            if cleared:
+                self.exchange.clear(cleared)
+
+    async def _record_lost(self, call: Call, instance: Instance) -> None:
+        digest = request_digest(call)
+        if digest is None:
+            return
+        run = CrashedRun(
+            instance=instance.name,
+            started_ms=instance.started_ms,
+            vm=self.vm,
+            request=digest,
+            segments=tuple(call.shared_segments),
+            begun=call.begun,
+            at=self.clock(),
+        )
+        key = instance.incarnation
+        self.lost_runs.setdefault(key, []).append(run)
+        probe = self.probes.get(key)
+        if probe is None:
+            probe = self.probes[key] = asyncio.create_task(self._probe(instance))
+            probe.add_done_callback(lambda task: self._probe_ended(key))
+        await asyncio.wait([probe], timeout=PROBE_WAIT_S)
+
+    def _probe_ended(self, key: tuple[str, int]) -> None:
+        del self.probes[key]
+        del self.lost_runs[key]
+
+    async def _probe(self, instance: Instance) -> None:
+        """Connect anew; report the lost runs if nothing listens any more."""
+        try:
+            connection = await connect(
+                instance.address, timeout_s=PROBE_TIMEOUT_S, clock=self.clock
+            )
+        except UpstreamNotListening:
+            runs = self.lost_runs[instance.incarnation]
+            self.log(
+                "engine-crashed",
+                instance=instance.name,
+                started_ms=instance.started_ms,
+                begun=[run.request for run in runs if run.begun],
+                waiting=sum(not run.begun for run in runs),
+            )
+            self.on_crash(instance.name)
+            for run in runs:
+                self.exchange.record_crash(run)
+        except UpstreamUnreachable:
+            # Cut off, for all that is known; the watch for silence looks after it.
+            pass
+        else:
+            self.pool.release(instance.address, connection, idle_s=None)
--- /dev/null
+++ b/src/endivelug/forwarding/first_bytes.py
@@ -0,0 +1,52 @@
+"""Records the first byte of each response: load, metrics and cached segments."""
+
+from collections.abc import Callable
+
+from endivelug.forwarding.cache_tracker import CacheTracker
+from endivelug.forwarding.calls import Call
+from endivelug.forwarding.cluster_view import ClusterView
+from endivelug.forwarding.node_metrics import NodeMetrics
+from endivelug.forwarding.placement import Placement, Placer
+
+
+class FirstByteRecorder:
+    """Records the first byte of a response and the segments that are now cached.
+
+    Parameters
+    ----------
+    on_cached : callable
+        Called after the segments of a prompt are known to be cached.
+    """
+
+    def __init__(
+        self,
+        *,
+        view: ClusterView,
+        placer: Placer,
+        metrics: NodeMetrics,
+        cache_tracker: CacheTracker,
+        on_cached: Callable[[], None],
+        clock: Callable[[], float],
+    ) -> None:
+        self.view = view
+        self.placer = placer
+        self.metrics = metrics
+        self.cache_tracker = cache_tracker
+        self.on_cached = on_cached
+        self.clock = clock
+
+    def record(self, call: Call, placement: Placement) -> None:
+        """Record the first byte of the response to a call."""
+        now = self.clock()
+        name, request = placement.instance.name, call.request
+        work = self.view.loads.of(name).work.get(request.id)
+        alone = self.view.loads.total(name).requests == 1
+        if work is not None and alone and request.prompt_tokens:
+            rate = self.placer.prefill_rate(call.service)
+            rate.observe(tokens=work.uncached_tokens, seconds=now - work.sent_at)
+        self.view.loads.record_first_byte(name, request.id, now=now)
+        self.metrics.record_first_byte(call, now=now)
+        if placement.namespace is None:
+            return
+        self.cache_tracker.record_cached(name, placement.namespace, call)
+        self.on_cached()
--- a/src/endivelug/forwarding/forwarder.py
+++ b/src/endivelug/forwarding/forwarder.py
@@ -18,6 +18,8 @@
     NotSent,
 )
 from endivelug.forwarding.cluster_view import ClusterView
+from endivelug.forwarding.crash_suspects import Block
+from endivelug.forwarding.crash_watch import CrashWatch
 from endivelug.forwarding.dispatcher import Dispatcher
 from endivelug.forwarding.front_server import Writer
 from endivelug.forwarding.placement import Placement
@@ -80,6 +82,7 @@
         clock: Callable[[], float],
         rng: random.Random,
         refused: RefusedCallers,
+        crash_watch: CrashWatch,
         on_avoid: Callable[[str, float], None],
         on_refused: Callable[[str, float], None],
         on_sending: Callable[[Placement], None],
@@ -95,6 +98,7 @@
         self.clock = clock
         self.rng = rng
         self.refused = refused
+        self.crash_watch = crash_watch
         self.on_avoid = on_avoid
         self.on_refused = on_refused
         self.on_sending = on_sending
@@ -174,12 +178,22 @@
         failure: Failed | None = None
         continuation: Placement | None = None
         while True:
+            block = self.crash_watch.block_of(call)
+            if block is not None:
+                await self._fail_blocked(call, writer, failure, block)
+                return
             placement = continuation or await self._place(call)
             if isinstance(placement, NoPlacement):
                 self.recorder.metrics.record_unplaced(call, placement.main_reason)
                 await self._fail(call, writer, failure, str(placement))
                 return
             name = placement.instance.name
+            if self.crash_watch.is_blocked(call):
+                # Blocked while it waited; the next round refuses it.
+                self.view.loads.remove_work(name, call.request.id)
+                self.dispatcher.schedule_assignment()
+                continuation = None
+                continue
             self.recorder.record_sent(call, placement)
             self.on_sending(placement)
             call.instance = name
@@ -191,6 +205,7 @@
                 self.view.loads.remove_work(name, call.request.id)
                 self.on_ended(call, placement, outcome)
                 self.dispatcher.schedule_assignment()
+            await self.crash_watch.record_outcome(call, placement, outcome)
             if isinstance(outcome, Delivered):
                 self.recorder.record_delivered(call, name)
                 return
@@ -246,25 +261,51 @@
         load = self.view.loads.of(name)
         match outcome:
             case NotRun(other_instance=other_instance):
-                self._avoid(name, MOVED_AVOID_S if other_instance else REFUSED_AVOID_S)
+                self.avoid(name, MOVED_AVOID_S if other_instance else REFUSED_AVOID_S)
             case NotSent():
-                self._avoid(name, UNREACHABLE_AVOID_S)
+                self.avoid(name, UNREACHABLE_AVOID_S)
             case Lost() | Failed():
                 load.failures += 1
                 call.excluded_instances.add(name)
                 if load.failures >= FAILURES_TO_AVOID:
-                    self._avoid(name, FAILED_AVOID_S)
+                    self.avoid(name, FAILED_AVOID_S)
         self.recorder.record_failed_attempt(call, name, outcome)
 
-    def _avoid(self, name: str, for_s: float) -> None:
+    def avoid(self, name: str, for_s: float) -> None:
+        """Send no requests to an instance for a while, and tell the peers."""
         load = self.view.loads.of(name)
         load.avoid_until = max(load.avoid_until, self.clock() + for_s)
         self.on_avoid(name, for_s)
 
+    async def _fail_blocked(
+        self, call: Call, writer: Writer, failure: Failed | None, block: Block
+    ) -> None:
+        """Send the error response of a call whose prompt crashes engines."""
+        now = self.clock()
+        reason = (
+            f"the prompt is suspected of crashing engines: {block.suspect} was there "
+            f"at {block.moments} moments in {block.requests} requests, the last "
+            f"{now - block.last_at:.1f} s ago"
+        )
+        retry_after_s = max(block.test_at - now, 0.0) + self._retry_after_s()
+        await self._fail(call, writer, failure, reason, retry_after_s=retry_after_s)
+
     async def _fail(
-        self, call: Call, writer: Writer, failure: Failed | None, reason: str
+        self,
+        call: Call,
+        writer: Writer,
+        failure: Failed | None,
+        reason: str,
+        *,
+        retry_after_s: float | None = None,
     ) -> None:
-        """Send the error response of an undelivered call, or abort its stream."""
+        """Send the error response of an undelivered call, or abort its stream.
+
+        Parameters
+        ----------
+        retry_after_s : float or None
+            Time after which a call that was not sent may succeed, if it is known.
+        """
         now = self.clock()
         if call.streaming:
             self.recorder.record_undelivered(call, "broken", reason)
@@ -282,8 +323,9 @@
                 call.request.id, writer, 504 if late else 502, reason
             )
         else:
-            retry_after_s = self._retry_after_s()
-            self._record_refusal(call, retry_after_s)
+            if retry_after_s is None:
+                retry_after_s = self._retry_after_s()
+                self._record_refusal(call, retry_after_s)
             self.recorder.record_undelivered(
                 call, "not-run", reason, retry_after_s=retry_after_s
             )
--- a/src/endivelug/forwarding/node.py
+++ b/src/endivelug/forwarding/node.py
@@ -13,12 +13,14 @@
 from endivelug.forwarding.cache_store_watch import CacheStoreWatch
 from endivelug.forwarding.cache_tracker import CacheTracker
 from endivelug.forwarding.call_recorder import CallRecorder
-from endivelug.forwarding.calls import Call
 from endivelug.forwarding.cluster_view import ClusterView
 from endivelug.forwarding.connection_pool import ConnectionPool
+from endivelug.forwarding.crash_suspects import CrashSuspects
+from endivelug.forwarding.crash_watch import CrashWatch
 from endivelug.forwarding.decision_log import DecisionLog
 from endivelug.forwarding.dispatcher import Dispatcher
-from endivelug.forwarding.forwarder import Forwarder
+from endivelug.forwarding.first_bytes import FirstByteRecorder
+from endivelug.forwarding.forwarder import UNREACHABLE_AVOID_S, Forwarder
 from endivelug.forwarding.front_server import FrontServer, Writer
 from endivelug.forwarding.instances import Instance
 from endivelug.forwarding.loop_watch import LoopWatch
@@ -31,7 +33,7 @@
 )
 from endivelug.forwarding.peer_messages import NoticeKind
 from endivelug.forwarding.peers import Peers
-from endivelug.forwarding.placement import OLD_WEIGHTS_MARGIN_S, Placement, Placer
+from endivelug.forwarding.placement import OLD_WEIGHTS_MARGIN_S, Placer
 from endivelug.forwarding.refused_callers import RefusedCallers
 from endivelug.forwarding.retry_budget import SharedRetryBudget
 from endivelug.forwarding.silence_watch import SilenceWatch
@@ -131,6 +133,7 @@
             log=log,
         )
         self.refused = RefusedCallers()
+        self.suspects = CrashSuspects(vm=settings.vm)
         self.peers = self._make_peers()
         self.join = VmJoin(
             peers=self.peers,
@@ -177,6 +180,23 @@
             rng=rng,
             log=log,
         )
+        self.crash_watch = CrashWatch(
+            vm=settings.vm,
+            suspects=self.suspects,
+            exchange=self.peers.crashes,
+            pool=self.pool,
+            on_crash=lambda name: self.forwarder.avoid(name, UNREACHABLE_AVOID_S),
+            clock=self.clock,
+            log=log,
+        )
+        self.first_bytes = FirstByteRecorder(
+            view=self.view,
+            placer=self.placer,
+            metrics=self.metrics,
+            cache_tracker=self.cache_tracker,
+            on_cached=self.dispatcher.schedule_assignment,
+            clock=self.clock,
+        )
         self.loop_watch = LoopWatch(clock=self.clock, log=log)
         self.forwarder = self._make_forwarder()
         self.front_server = FrontServer(handler=self.forwarder.handle)
@@ -199,6 +219,7 @@
             view=self.view,
             budget=self.budget,
             refused=self.refused,
+            suspects=self.suspects,
             lease_remaining_s=lambda: self.lease.remaining_s(boot_clock()),
             ordered_engines=self.orders.ordered_engines,
             store_connected=lambda: self.sync.connected,
@@ -214,7 +235,9 @@
             pool=self.pool,
             view=self.view,
             clock=self.clock,
-            on_started=self._first_byte_received,
+            on_started=self.first_bytes.record,
+            on_events=self.crash_watch.record_events,
+            is_blocked=self.crash_watch.is_blocked,
         )
         return Forwarder(
             wire=self.platform.wire,
@@ -232,6 +255,7 @@
             clock=self.clock,
             rng=self.rng,
             refused=self.refused,
+            crash_watch=self.crash_watch,
             on_avoid=self._announce_avoid,
             on_refused=self._announce_refused,
             on_sending=self.cache_tracker.attempt_started,
@@ -313,23 +337,6 @@
     def _announce_store_unreachable(self, address: str, for_s: float) -> None:
         self.peers.send_notice(address, NoticeKind.STORE_GONE, for_s)
 
-    def _first_byte_received(self, call: Call, placement: Placement) -> None:
-        """Record the first byte of a response and the segments that are now cached."""
-        now = self.clock()
-        name, request = placement.instance.name, call.request
-        load = self.view.loads.of(name)
-        work = load.work.get(request.id)
-        alone = self.view.loads.total(name).requests == 1
-        if work is not None and alone and request.prompt_tokens:
-            rate = self.placer.prefill_rate(call.service)
-            rate.observe(tokens=work.uncached_tokens, seconds=now - work.sent_at)
-        self.view.loads.record_first_byte(name, request.id, now=now)
-        self.metrics.record_first_byte(call, now=now)
-        if placement.namespace is None:
-            return
-        self.cache_tracker.record_cached(name, placement.namespace, call)
-        self.dispatcher.schedule_assignment()
-
     def _instance_removed(self, instance: Instance) -> None:
         self.pool.close_idle(instance.address)
         if not self.view.loads.of(instance.name).work:
@@ -356,6 +363,7 @@
             else 0.0,
             "lease_held": float(self.lease.remaining_s(boot_clock()) > 0),
             "log_lines_dropped": float(self.log.dropped_total),
+            "prompts_blocked": float(len(self.suspects.blocked(now=self.clock()))),
             "connections_opened": float(self.pool.opened_total),
             "loop_late_seconds_max": self.loop_watch.longest_s,
             "callers_left_unserved": float(self.front_server.left_total),
--- a/src/endivelug/forwarding/peer_messages.py
+++ b/src/endivelug/forwarding/peer_messages.py
@@ -219,6 +219,52 @@
     rows: list[TableRow]
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class CrashedRunReport:
+    """A request that an engine had not got past the beginning of when it crashed.
+
+    Attributes
+    ----------
+    started_ms : int
+        Start of the engine; with its name, the identity of the crash.
+    vm : str
+        VM that had sent the request.
+    request : str
+        Digest that is the same for each repetition of the request.
+    segments : list of str
+        Shared segments of its prompt.
+    begun : bool
+        Whether the engine had begun to answer.
+    age_s : float
+        Time since the crash.
+    """
+
+    instance: str
+    started_ms: int
+    vm: str
+    request: str
+    segments: list[str]
+    begun: bool
+    age_s: float
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class ClearedSuspect:
+    """A segment, or the digest of a request, that was answered without a crash."""
+
+    suspect: str
+    age_s: float
+
+
+@dataclass(slots=True, kw_only=True)
+class CrashNews:
+    """Evidence of crashes that the receiver may not know; it passes new items on."""
+
+    TYPE: ClassVar[int] = 44
+    runs: list[CrashedRunReport]
+    cleared: list[ClearedSuspect]
+
+
 # Types of the list items in these messages, for the codec.
 RECORDS = (
     LoadReport,
@@ -229,4 +275,6 @@
     TableVersion,
     TableRow,
     WantedAge,
+    CrashedRunReport,
+    ClearedSuspect,
 )
--- a/src/endivelug/forwarding/peers.py
+++ b/src/endivelug/forwarding/peers.py
@@ -5,11 +5,14 @@
 
 from endivelug.exceptions import LinkBusy, LinkClosed
 from endivelug.forwarding.cluster_view import ClusterView, LogLine
+from endivelug.forwarding.crash_exchange import CrashExchange
+from endivelug.forwarding.crash_suspects import CrashSuspects
 from endivelug.forwarding.instances import Instance
 from endivelug.forwarding.link_targets import LinkTargets
 from endivelug.forwarding.neighbour import NO_MEMBER, Neighbour
 from endivelug.forwarding.overlay import Overlay, RegisteredVm
 from endivelug.forwarding.peer_messages import (
+    CrashNews,
     FullReportRequest,
     NoticeKind,
     RouterReport,
@@ -64,6 +67,7 @@
         view: ClusterView,
         budget: SharedRetryBudget,
         refused: RefusedCallers,
+        suspects: CrashSuspects,
         lease_remaining_s: Callable[[], float],
         ordered_engines: Callable[[], list[str]],
         store_connected: Callable[[], bool],
@@ -82,6 +86,9 @@
         self.overlay = Overlay(vm=identity.vm, data_centre=identity.data_centre)
         self.neighbours: dict[str, Neighbour] = {}
         self.links: dict[str, Link] = {}
+        self.crashes = CrashExchange(
+            suspects=suspects, links=self.links, clock=clock, log=log
+        )
         self.max_vms = 1
         self.builder = ReportBuilder(
             view=view,
@@ -110,6 +117,7 @@
         self.sync_handlers: SyncHandlers = {
             RouterReport: self._apply_report,
             FullReportRequest: self._answer_full_report,
+            CrashNews: self.crashes.receive,
             RowsRequest: self._answer_rows,
         }
         self.targets = LinkTargets(
@@ -303,6 +311,7 @@
             self.log("dependency-regained", dependency=f"peer/{vm}")
         self.neighbours[vm] = Neighbour(last_received_at=self.clock())
         self.links[vm] = link
+        self.crashes.greet(link)
         self._check_role_soon()
         self.announce()
 
--- a/src/endivelug/forwarding/upstream_connection.py
+++ b/src/endivelug/forwarding/upstream_connection.py
@@ -14,7 +14,11 @@
 
 import h11
 
-from endivelug.exceptions import UpstreamBroken, UpstreamUnreachable
+from endivelug.exceptions import (
+    UpstreamBroken,
+    UpstreamNotListening,
+    UpstreamUnreachable,
+)
 
 # Reading from the socket pauses when more received body bytes than this are unread.
 MAX_BUFFERED_BYTES = 256 * 1024
@@ -316,6 +320,8 @@
 
     Raises
     ------
+    UpstreamNotListening
+        If nothing listens at the address; nothing was sent.
     UpstreamUnreachable
         If no connection was made in time; nothing was sent.
     """
@@ -326,6 +332,10 @@
             _, connection = await loop.create_connection(
                 lambda: UpstreamConnection(clock=clock), host, int(port)
             )
+    except ConnectionRefusedError as error:
+        raise UpstreamNotListening(
+            f"no connection to {address} ({error}); use another upstream"
+        ) from error
     except (OSError, TimeoutError, ValueError) as error:
         raise UpstreamUnreachable(
             f"no connection to {address} ({error or 'timeout'}); use another upstream"
--- a/src/endivelug/messages.py
+++ b/src/endivelug/messages.py
@@ -21,13 +21,14 @@
     ShareRequest,
 )
 from endivelug.forwarding.peer_messages import (
+    CrashNews,
     FullReportRequest,
     RouterReport,
     RowsReply,
     RowsRequest,
 )
 
-PROTOCOL_VERSION = 2
+PROTOCOL_VERSION = 3
 
 __all__ = [
     "PROTOCOL_VERSION",
@@ -40,6 +41,7 @@
     "ConfigRequest",
     "ConfigSnapshot",
     "Contact",
+    "CrashNews",
     "DataCentreStatusRequest",
     "EngineView",
     "Failure",
@@ -397,4 +399,5 @@
     | FullReportRequest
     | RowsRequest
     | RowsReply
+    | CrashNews
 )
--- /dev/null
+++ b/tests/test_crash_exchange.py
@@ -0,0 +1,151 @@
+"""News of crashes between routers, over simulated links."""
+
+from collections import deque
+
+from endivelug import codec
+from endivelug.exceptions import LinkBusy
+from endivelug.forwarding.crash_exchange import CrashExchange
+from endivelug.forwarding.crash_suspects import CrashSuspects
+from forwarding_builders import LogRecorder, ManualClock
+from test_crash_suspects import make_run
+
+# Two relays, each with two members; the members of a relay are not linked.
+LINKS = [("r1", "r2"), ("r1", "m1"), ("r1", "m2"), ("r2", "m3"), ("r2", "m4")]
+
+
+class SimulatedLink:
+    """One direction of a link; ``peer`` is the sender as the receiver sees it."""
+
+    def __init__(self, network, source, target):
+        self.network = network
+        self.source = source
+        self.target = target
+        self.busy = False
+        self.peer = self
+        self.vm = target
+
+    def send(self, message):
+        if self.busy:
+            raise LinkBusy("full")
+        self.network.sent += 1
+        self.network.messages.append((self, codec.encode(message)))
+
+
+class Network:
+    def __init__(self):
+        self.clock = ManualClock()
+        self.messages = deque()
+        self.sent = 0
+        self.log = LogRecorder()
+        self.routers = {}
+
+    def add(self, vm):
+        self.routers[vm] = CrashExchange(
+            suspects=CrashSuspects(vm=vm), links={}, clock=self.clock, log=self.log
+        )
+
+    def connect(self, one, two):
+        for source, target in ((one, two), (two, one)):
+            link = SimulatedLink(self, source, target)
+            self.routers[source].links[target] = link
+            self.routers[source].greet(link)
+
+    def deliver(self):
+        while self.messages:
+            link, data = self.messages.popleft()
+            _, message = codec.decode(data)
+            router = self.routers[link.target]
+            router.receive(router.links[link.source], message)
+
+    def blocking(self, segment):
+        now = self.clock()
+        return {
+            vm
+            for vm, router in self.routers.items()
+            if router.suspects.block_of("q", [segment], now=now)
+        }
+
+
+def make_network():
+    network = Network()
+    for vm in sorted({vm for pair in LINKS for vm in pair}):
+        network.add(vm)
+    for pair in LINKS:
+        network.connect(*pair)
+    return network
+
+
+def crash_twice(network):
+    """Let two members that are not linked to each other see one crash each."""
+    for number, vm in enumerate(("m1", "m4")):
+        network.clock.now += 2.0
+        run = make_run(f"e{number}", f"q{number}", "bad", at=network.clock(), vm=vm)
+        network.routers[vm].record_crash(run)
+        network.deliver()
+
+
+# Guards against evidence that lies at one VM each, so that none can tell.
+def test_all_vms_block_what_two_vms_saw():
+    network = make_network()
+    crash_twice(network)
+    assert network.blocking("bad") == set(network.routers)
+    assert network.log.events().count("prompt-blocked") == len(network.routers)
+
+
+# Guards against news that circulate for ever between VMs that pass them on.
+def test_news_are_passed_on_once():
+    network = make_network()
+    network.connect("m1", "m3")
+    network.connect("m2", "m4")
+    network.sent = 0
+    crash_twice(network)
+    assert network.sent <= 2 * 2 * (len(LINKS) + 2)
+
+
+# Guards against a VM that blocks a prompt for which the others know an answer.
+def test_an_answer_clears_a_suspect_everywhere():
+    network = make_network()
+    crash_twice(network)
+    network.clock.now += 1.0
+    network.routers["m2"].clear(["bad"])
+    network.deliver()
+    assert network.blocking("bad") == set()
+
+
+# Guards against a VM that has started again and sends what all others block.
+def test_a_new_vm_learns_what_is_blocked_and_what_was_cleared():
+    network = make_network()
+    crash_twice(network)
+    network.add("m5")
+    network.connect("r2", "m5")
+    network.deliver()
+    assert "m5" in network.blocking("bad")
+
+
+# Guards against a VM that was cut off while a suspect was cleared: it neither keeps the
+# suspicion nor brings it back to the others.
+def test_a_vm_that_was_cut_off_learns_of_the_answer():
+    network = make_network()
+    crash_twice(network)
+    for source, target in (("r1", "m1"), ("m1", "r1")):
+        del network.routers[source].links[target]
+    network.clock.now += 1.0
+    network.routers["m2"].clear(["bad"])
+    network.deliver()
+    assert network.blocking("bad") == {"m1"}
+    network.connect("r1", "m1")
+    network.deliver()
+    assert network.blocking("bad") == set()
+
+
+# Guards against a full queue of one link that keeps the news from all others.
+def test_a_busy_link_does_not_stop_the_news():
+    network = make_network()
+    network.routers["r1"].links["m2"].busy = True
+    crash_twice(network)
+    assert network.blocking("bad") == set(network.routers) - {"m2"}
+    assert "peer-slow" in network.log.events()
+    network.routers["r1"].links["m2"].busy = False
+    network.connect("r1", "m2")
+    network.deliver()
+    assert "m2" in network.blocking("bad")
--- /dev/null
+++ b/tests/test_crashing_prompts.py
@@ -0,0 +1,136 @@
+"""A router whose engines crash as soon as they begin to answer one segment."""
+
+import asyncio
+
+from test_crash_suspects import make_run
+from test_forwarding_path import (
+    metrics_port,
+    run_scenario,
+    stream_three_events,
+    wait_until,
+)
+
+__all__ = ["metrics_port"]
+
+
+def prompt(own, *shared):
+    segments = [f"{name}:40" for name in (*shared, own)]
+    return {
+        "X-Model": "m",
+        "X-Token-Usage": f"{40 * len(segments)},5",
+        "X-Prompt-Prefix": ",".join(segments),
+        "X-Request-Id": own,
+    }
+
+
+def crash_on(segment, upstream, crashed):
+    """Return the script of an engine that ends when it begins to answer a segment."""
+
+    async def script(exchange):
+        if segment not in exchange.headers["x-prompt-prefix"]:
+            await stream_three_events(exchange)
+            return
+        crashed.append(exchange.id)
+        await exchange.start_stream()
+        upstream.crash()
+        exchange.closed = True
+        exchange.writer.close()
+
+    return script
+
+
+def install(system, segment):
+    crashed = []
+    for engine in system.engines:
+        engine.script = crash_on(segment, engine, crashed)
+    return crashed
+
+
+# Guards against engines that crash one after the other by the same kind of request.
+# Each was sent, and sent once more, although all had one segment in common.
+def test_requests_with_one_segment_in_common_do_not_crash_engine_after_engine():
+    async def scenario(system):
+        crashed = install(system, "dead")
+        for number in range(6):
+            await system.request(headers=prompt(f"b{number}", f"a{number}", "dead"))
+            # Beyond the time within which crashes count as one.
+            await asyncio.sleep(0.6)
+        assert len(crashed) <= 3
+        refused = await system.request(headers=prompt("b9", "a9", "dead"))
+        assert refused.status == 503
+        assert b"not-run" in refused.body
+        assert float(refused.headers["retry-after"]) > 1.0
+        sound = await system.request(headers=prompt("s1", "a1"))
+        assert sound.complete
+        assert "prompt-blocked" in system.log.events()
+
+    run_scenario(scenario, engines=8)
+
+
+# Guards against suspecting a prompt because an engine breaks off answers but lives.
+def test_answers_broken_off_by_a_living_engine_make_no_prompt_suspect():
+    async def break_off(exchange):
+        await exchange.start_stream()
+        exchange.reset()
+
+    async def scenario(system):
+        for engine in system.engines:
+            engine.script = break_off
+        for number in range(4):
+            await system.request(headers=prompt(f"q{number}", "shared"))
+            await asyncio.sleep(0.6)
+        assert system.node.suspects.runs(now=system.node.clock()) == []
+        assert "engine-crashed" not in system.log.events()
+
+    run_scenario(scenario, engines=2)
+
+
+# Guards against a crash that only the VM with a request there learns of: all requests
+# in progress at the engine are evidence, and no VM sends it more.
+def test_a_crash_is_confirmed_once_and_its_engine_is_avoided():
+    async def hang(exchange):
+        await asyncio.sleep(5)
+
+    async def scenario(system):
+        engine = system.engines[0]
+        engine.script = hang
+        requests = [
+            asyncio.create_task(system.request(headers=prompt(f"q{number}", "shared")))
+            for number in range(3)
+        ]
+        await wait_until(lambda: len(engine.exchanges) == 3)
+        engine.crash()
+        for exchange in engine.exchanges:
+            exchange.closed = True
+            exchange.writer.transport.abort()
+        await wait_until(lambda: "engine-crashed" in system.log.events())
+        assert system.node.view.loads.of("i0").avoid_until > system.node.clock()
+        await asyncio.gather(*requests)
+        assert system.log.events().count("engine-crashed") == 1
+        runs = system.node.suspects.runs(now=system.node.clock())
+        assert {run.begun for run in runs} == {False}
+        assert len(runs) == 3
+
+    run_scenario(scenario, engines=1)
+
+
+# Guards against a request that crashes another engine, because it was sent just before
+# its segment was blocked.
+def test_a_request_in_progress_is_given_up_when_its_segment_is_blocked():
+    async def hang(exchange):
+        await asyncio.sleep(5)
+
+    async def scenario(system):
+        system.engines[0].script = hang
+        task = asyncio.create_task(system.request(headers=prompt("q", "a", "dead")))
+        await wait_until(lambda: system.engines[0].exchanges)
+        now = system.node.clock()
+        for number in range(2):
+            run = make_run(f"x{number}", f"r{number}", "dead", at=now - 2.0 + number)
+            system.node.suspects.record_crash(run, now=now)
+        await wait_until(lambda: system.engines[0].aborted == ["q"], timeout_s=0.6)
+        response = await task
+        assert response.status == 502
+        assert b"may-have-run" in response.body
+
+    run_scenario(scenario, engines=1)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -6,6 +6,7 @@
 from measurements._ports import free_port
 
 from endivelug.forwarding.cluster_view import ClusterView
+from endivelug.forwarding.crash_suspects import CrashSuspects
 from endivelug.forwarding.overlay import RegisteredVm
 from endivelug.forwarding.peer_messages import NoticeKind
 from endivelug.forwarding.peers import Peers
@@ -38,6 +39,7 @@
         view=view,
         budget=budget,
         refused=RefusedCallers(),
+        suspects=CrashSuspects(vm=vm),
         lease_remaining_s=lambda: 0.0,
         ordered_engines=lambda: [],
         store_connected=lambda: True,
