Treat a stream that ends inside an event as broken off

Cause: at the end of a body the relay wrote what was left of an event and ended the response as complete, for chunked streams too.

Change: a rest of an event at the end of an event stream is a broken attempt: it goes on at another engine after the last whole event where it may, else the connection is closed.

--- a/src/endivelug/forwarding/attempt.py
+++ b/src/endivelug/forwarding/attempt.py
@@ -308,6 +308,8 @@
                         # After the write, which waits for a slow caller.
                         progress_at = self.clock()
                 case BodyEnd():
+                    if splitter.partial and _is_event_stream(call, head):
+                        raise UpstreamBroken("the stream ended inside an event")
                     if splitter.partial or not call.streaming:
                         await self._write_response(
                             call, writer, head, bytes(splitter.partial)
@@ -333,3 +335,8 @@
 
     def _remaining_s(self, call: Call) -> float:
         return call.deadline - attempt_limits.RESPONSE_MARGIN_S - self.clock()
+
+
+def _is_event_stream(call: Call, head: ResponseHead) -> bool:
+    content_type = head.get("content-type") or ""
+    return call.streaming or content_type.startswith("text/event-stream")
