Check that an upstream lives before its unframed answer counts as complete

On the operators' list: an answer that broke off halfway reached the caller as a complete success.

Change: only for such answers, a connection attempt follows the end of the body. If nothing listens, the attempt counts as broken off. An upstream that cannot be reached for another reason had closed the connection itself, so its answer stands.

--- a/src/endivelug/forwarding/attempt.py
+++ b/src/endivelug/forwarding/attempt.py
@@ -3,7 +3,11 @@
 import asyncio
 from collections.abc import Callable
 
-from endivelug.exceptions import UpstreamBroken, UpstreamUnreachable
+from endivelug.exceptions import (
+    UpstreamBroken,
+    UpstreamNotListening,
+    UpstreamUnreachable,
+)
 from endivelug.forwarding import attempt_limits
 from endivelug.forwarding.calls import (
     AttemptOutcome,
@@ -34,12 +38,15 @@
     ResponseEvent,
     ResponseHead,
     UpstreamConnection,
+    connect,
 )
 
 # The upstream may have closed a connection that was idle for longer. A request that may
 # run only once is not sent on such a connection, because it could be lost there.
 NON_REPEATABLE_MAX_IDLE_S = 3.0
 SILENCE_CHECK_INTERVAL_S = 0.2
+# Time limit of the connection that tells whether an upstream still lives.
+END_CHECK_TIMEOUT_S = 0.25
 MAX_PRIORITY = 9
 
 
@@ -190,6 +197,7 @@
             )
         self._report_started(call, placement)
         body = await self._read_body(call, connection)
+        await self._check_complete(head, placement)
         await writer.start(
             head.status, head.reason, self.wire.caller_headers(head), body
         )
@@ -310,6 +318,7 @@
                 case BodyEnd():
                     if splitter.partial and _is_event_stream(call, head):
                         raise UpstreamBroken("the stream ended inside an event")
+                    await self._check_complete(head, placement)
                     if splitter.partial or not call.streaming:
                         await self._write_response(
                             call, writer, head, bytes(splitter.partial)
@@ -327,6 +336,31 @@
         if data:
             await writer.write(data)
 
+    async def _check_complete(self, head: ResponseHead, placement: Placement) -> None:
+        """Look whether the upstream still lives, if only that tells the end of a body.
+
+        Raises
+        ------
+        UpstreamBroken
+            If the body ended with its connection and nothing listens there any more: a
+            crash ends it in the same way.
+        """
+        if not head.ends_with_connection:
+            return
+        address = placement.instance.address
+        try:
+            connection = await connect(
+                address, timeout_s=END_CHECK_TIMEOUT_S, clock=self.clock
+            )
+        except UpstreamNotListening as error:
+            raise UpstreamBroken(
+                "the answer has no length, and its upstream has ended"
+            ) from error
+        except UpstreamUnreachable:
+            # Cut off or slow; it closed the connection itself, so it had not crashed.
+            return
+        self.pool.release(address, connection, idle_s=None)
+
     def _report_started(self, call: Call, placement: Placement) -> None:
         work = self.view.loads.of(placement.instance.name).work.get(call.request.id)
         if work is None or work.started:
--- a/src/endivelug/forwarding/upstream_connection.py
+++ b/src/endivelug/forwarding/upstream_connection.py
@@ -53,6 +53,13 @@
                 return value
         return None
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether the body has neither a length nor chunks."""
+        return (
+            self.get("content-length") is None and self.get("transfer-encoding") is None
+        )
+
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class BodyData:
--- a/tests/test_broken_off_answers.py
+++ b/tests/test_broken_off_answers.py
@@ -93,3 +93,28 @@
         assert (response.status, response.body) == (200, b"whole")
 
     run_scenario(scenario)
+
+
+# Guards against an answer without a length that looked complete although the crash of
+# its upstream had cut it short.
+def test_an_answer_without_a_length_from_an_upstream_that_ended_is_broken_off():
+    def crash_after(upstream, content_type, data):
+        async def script(exchange):
+            await start_unframed(exchange, content_type=content_type)
+            await exchange.send(data)
+            upstream.crash()
+            close(exchange)
+
+        return script
+
+    async def scenario(system):
+        for engine in system.engines:
+            engine.script = crash_after(engine, "text/event-stream", EVENT)
+        for desk in system.desks:
+            desk.script = crash_after(desk, "text/plain", b"hal")
+        response = await system.request("/a/orders/1")
+        assert response.status == 502
+        response = await system.request(headers={**PROMPT, "X-Request-Id": "q2"})
+        assert (response.status, response.complete) == (200, False)
+
+    run_scenario(scenario)
