Forget at all routers at once what a crashed engine had cached

Cause: only the VMs with a request at the engine learned of the crash. All others relied on its cache until the registry dropped its entry, after three missed heartbeats, but for the 0.6 s of the notice to avoid it.

Change: the news of a crash that all VMs get clears the cache of that start of the engine.

Evidence: the two new tests; the hook did not exist before.

--- a/src/endivelug/forwarding/cluster_view.py
+++ b/src/endivelug/forwarding/cluster_view.py
@@ -203,6 +203,12 @@
             self.on_weights_observed(instance, model, version)
         self.on_change()
 
+    def record_crash(self, name: str, started_ms: int) -> None:
+        """Record that an incarnation of an engine crashed, and its cache with it."""
+        instance = self.registry.get(name)
+        if instance is not None and instance.started_ms == started_ms:
+            self.caches.clear(name)
+
     def apply_weights_age(self, model: str, version: int, *, age_s: float) -> None:
         """Apply the age of desired weights from a peer that observed the change."""
         desired = self.desired_weights.get(model)
--- a/src/endivelug/forwarding/crash_exchange.py
+++ b/src/endivelug/forwarding/crash_exchange.py
@@ -28,6 +28,8 @@
     ----------
     links : dict of str to Link
         Links by the name of the neighbour; the owner changes it.
+    on_crash : callable
+        Called with the name and the start of an engine, once for each crash.
     """
 
     def __init__(
@@ -35,11 +37,13 @@
         *,
         suspects: CrashSuspects,
         links: dict[str, Link],
+        on_crash: Callable[[str, int], None],
         clock: Callable[[], float],
         log: LogLine,
     ) -> None:
         self.suspects = suspects
         self.links = links
+        self.on_crash = on_crash
         self.clock = clock
         self.log = log
 
@@ -78,7 +82,10 @@
     ) -> None:
         now = self.clock()
         before = {block.suspect for block in self.suspects.blocked(now=now)}
+        known = set(self.suspects.crashes)
         new_runs = [run for run in runs if self.suspects.record_crash(run, now=now)]
+        for instance, started_ms in {run.crash for run in new_runs} - known:
+            self.on_crash(instance, started_ms)
         new_cleared = [
             (suspect, at) for suspect, at in cleared if self._clear(suspect, at, source)
         ]
--- a/src/endivelug/forwarding/peers.py
+++ b/src/endivelug/forwarding/peers.py
@@ -87,7 +87,11 @@
         self.neighbours: dict[str, Neighbour] = {}
         self.links: dict[str, Link] = {}
         self.crashes = CrashExchange(
-            suspects=suspects, links=self.links, clock=clock, log=log
+            suspects=suspects,
+            links=self.links,
+            on_crash=view.record_crash,
+            clock=clock,
+            log=log,
         )
         self.max_vms = 1
         self.builder = ReportBuilder(
--- a/tests/test_crash_exchange.py
+++ b/tests/test_crash_exchange.py
@@ -6,7 +6,8 @@
 from endivelug.exceptions import LinkBusy
 from endivelug.forwarding.crash_exchange import CrashExchange
 from endivelug.forwarding.crash_suspects import CrashSuspects
-from forwarding_builders import LogRecorder, ManualClock
+from endivelug.forwarding.prompt_cache import PromptSegment
+from forwarding_builders import LogRecorder, ManualClock, make_view
 from test_crash_suspects import make_run
 
 # Two relays, each with two members; the members of a relay are not linked.
@@ -38,10 +39,15 @@
         self.sent = 0
         self.log = LogRecorder()
         self.routers = {}
+        self.crashed = []
 
     def add(self, vm):
         self.routers[vm] = CrashExchange(
-            suspects=CrashSuspects(vm=vm), links={}, clock=self.clock, log=self.log
+            suspects=CrashSuspects(vm=vm),
+            links={},
+            on_crash=lambda name, started_ms: self.crashed.append((vm, name)),
+            clock=self.clock,
+            log=self.log,
         )
 
     def connect(self, one, two):
@@ -92,6 +98,16 @@
     assert network.log.events().count("prompt-blocked") == len(network.routers)
 
 
+# Guards against VMs that go on relying on the cache of an engine that crashed, because
+# only the VM with a request there learned of it.
+def test_each_vm_learns_of_a_crash_once():
+    network = make_network()
+    crash_twice(network)
+    assert sorted(network.crashed) == sorted(
+        (vm, name) for vm in network.routers for name in ("e0", "e1")
+    )
+
+
 # Guards against news that circulate for ever between VMs that pass them on.
 def test_news_are_passed_on_once():
     network = make_network()
@@ -149,3 +165,15 @@
     network.connect("r1", "m2")
     network.deliver()
     assert "m2" in network.blocking("bad")
+
+
+# Guards against copies from the cache of an engine that crashed, and against clearing
+# the cache of the one that has started in its place.
+def test_a_crash_clears_the_cache_of_that_start_only():
+    view = make_view(ManualClock())
+    segment = PromptSegment(segment_id="g", tokens=500)
+    view.caches.record_use("e1", namespace="v1", segments=[segment])
+    view.record_crash("e1", 999)
+    assert view.caches.cached_tokens("e1", namespace="v1", segments=[segment]) == 500
+    view.record_crash("e1", 1000)
+    assert view.caches.cached_tokens("e1", namespace="v1", segments=[segment]) == 0
