Suspect prompts that waited at a crash only where they were alone

Cause: the evidence was too weak. Half of the short streams that break off are at their only event, and under load the same popular segments wait at every engine that ends.

Change: only a request whose engine had begun to answer, without a whole event yet, counts beside others; a request that waited, or had its first event, counts if it was the only one that was lost early at that crash, and then three crashes are needed.

Evidence: two new tests, which failed before.

--- a/src/endivelug/forwarding/crash_suspects.py
+++ b/src/endivelug/forwarding/crash_suspects.py
@@ -4,13 +4,13 @@
 The requests have nothing else in common, come at any VM, and are sent once more after
 each crash, so engine after engine ends and takes the other requests with it.
 
-A crash makes those prompts suspect that the engine had not got past the beginning of.
-Where it had begun to answer some of them, only these count. A suspect is blocked once
-crashes at several moments leave it in common: a shared segment needs different
-requests, so that the other segments of one bad prompt stay usable; a request needs only
-itself. Engines that end together are one moment. A prompt that is answered anywhere
-clears its segments. A blocked suspect is tested again by one VM at a time, after
-growing intervals, and crashes are forgotten after a while.
+A crash makes those prompts suspect that the engine had begun to answer, without having
+got past the beginning. One that only waited is suspect if it was alone. A suspect is
+blocked once crashes at several moments leave it in common: a shared segment needs
+different requests, so that the other segments of one bad prompt stay usable; a request
+needs only itself. Engines that end together are one moment. A prompt that is answered
+anywhere clears its segments. A blocked suspect is tested again by one VM at a time,
+after growing intervals, and crashes are forgotten after a while.
 """
 
 from collections import OrderedDict
@@ -18,8 +18,8 @@
 
 # Crashes closer together than this may have one outside cause, such as a rack.
 SAME_MOMENT_S = 0.5
-# Moments and requests that block a shared segment, if engines had begun to answer.
-# Prompts that only waited at a crash are much weaker evidence.
+# Moments and requests that block a shared segment, if engines had begun to answer, and
+# if some prompts only waited.
 BLOCKING_COUNT = 2
 BLOCKING_COUNT_WAITING = 3
 # Time from the last crash to the first test; each further crash doubles it.
@@ -99,7 +99,6 @@
 @dataclass(slots=True, kw_only=True)
 class _Crash:
     at: float
-    begun: bool = False
     requests: set[str] = field(default_factory=set)
 
 
@@ -163,7 +162,6 @@
         if run.request in crash.requests or run.at <= now - CRASH_KEPT_S:
             return False
         crash.requests.add(run.request)
-        crash.begun = crash.begun or run.begun
         self._add(run.request, run, is_request=True)
         for segment in run.segments[-MAX_SEGMENTS_PER_RUN:]:
             self._add(segment, run, is_request=False)
@@ -250,11 +248,11 @@
 
     def _counted(self, item: _Suspect) -> list[CrashedRun]:
         """Return the runs that count: not those that only waited beside others."""
-        return [run for run in item.runs if run.begun or not self._has_begun(run)]
+        return [run for run in item.runs if run.begun or self._was_alone(run)]
 
-    def _has_begun(self, run: CrashedRun) -> bool:
+    def _was_alone(self, run: CrashedRun) -> bool:
         crash = self.crashes.get(run.crash)
-        return crash is not None and crash.begun
+        return crash is not None and crash.requests == {run.request}
 
     def _block(self, name: str) -> Block | None:
         item = self.suspects[name]
--- a/src/endivelug/forwarding/crash_watch.py
+++ b/src/endivelug/forwarding/crash_watch.py
@@ -19,7 +19,7 @@
 # A call is not sent elsewhere for this long, so that what its own crash shows counts.
 PROBE_WAIT_S = 0.1
 # A run with more events is past its beginning: it did not crash its engine, and its
-# prompt crashes none.
+# prompt crashes none. A run with a single event counts as one that only waited.
 BEGINNING_EVENTS = 1
 
 
@@ -116,7 +116,7 @@
             vm=self.vm,
             request=digest,
             segments=tuple(call.shared_segments),
-            begun=call.begun,
+            begun=call.begun and call.events == 0,
             at=self.clock(),
         )
         key = instance.incarnation
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -168,6 +168,21 @@
     assert not blocks_segment(suspects, "guide", now=9.0)
 
 
+# Guards against blocking popular segments where engines crash in quick succession, for
+# example while they load new weights, and nothing is answered for some seconds.
+def test_segments_of_many_that_wait_are_not_blocked_by_crash_after_crash():
+    suspects = CrashSuspects(vm="vm1")
+    for number in range(6):
+        at = 1.0 + 1.2 * number
+        for request in range(5):
+            segments = ("kit", f"guide{request % 2}")
+            name = f"q{number}-{request}"
+            record(
+                suspects, make_run(f"e{number}", name, *segments, at=at, begun=False)
+            )
+    assert suspects.blocked(now=9.0) == []
+
+
 # Guards against a segment that is never found where engines answer only at the end of
 # the prompt, so that no crash shows which request had begun.
 def test_three_requests_that_waited_at_three_moments_block_a_segment():
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -134,3 +134,25 @@
         assert b"may-have-run" in response.body
 
     run_scenario(scenario, engines=1)
+
+
+# Guards against suspecting short streams, which are often at their only event: where
+# engines crash for other reasons, many of them break off there.
+def test_a_stream_with_an_event_is_weak_evidence():
+    async def scenario(system):
+        engine = system.engines[0]
+
+        async def crash_after_an_event(exchange):
+            await exchange.start_stream()
+            await exchange.send_event(1)
+            await asyncio.sleep(0.05)
+            engine.crash()
+            exchange.closed = True
+            exchange.writer.close()
+
+        engine.script = crash_after_an_event
+        await system.request(headers=prompt("q", "shared"))
+        (run,) = system.node.suspects.runs(now=system.node.clock())
+        assert not run.begun
+
+    run_scenario(scenario, engines=1)
