Block a shared segment only after crashes at three moments

Cause: crashes at two moments by two requests are common by chance where engines crash often.

Change: three moments, still by two requests. The crashes of one request that is sent once more are moments of their own, however close, since no outside cause follows a request; so the third crash by the same segment is still the last where requests come one by one.

--- a/src/endivelug/forwarding/crash_suspects.py
+++ b/src/endivelug/forwarding/crash_suspects.py
@@ -16,12 +16,17 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-# Crashes closer together than this may have one outside cause, such as a rack.
+# Crashes closer together than this may have one outside cause, such as a rack, unless
+# the same request was sent to both engines.
 SAME_MOMENT_S = 0.5
-# Moments and requests that block a shared segment, if engines had begun to answer, and
-# if some prompts only waited.
-BLOCKING_COUNT = 2
-BLOCKING_COUNT_WAITING = 3
+# Moments at which engines crashed that block a single request.
+REQUEST_MOMENTS = 2
+# Moments, and different requests, that block a shared segment. More requests are needed
+# where prompts only waited, or where the segment was sound a while ago, so that it may
+# have been beside the cause by chance.
+SEGMENT_MOMENTS = 3
+SEGMENT_REQUESTS = 2
+DOUBTFUL_SEGMENT_REQUESTS = 3
 # Time from the last crash to the first test; each further crash doubles it.
 TEST_AFTER_S = 20.0
 MAX_TEST_DOUBLINGS = 4
@@ -98,6 +103,8 @@
 
 @dataclass(slots=True, kw_only=True)
 class _Crash:
+    """The time of a crash, and the requests that it cut off."""
+
     at: float
     requests: set[str] = field(default_factory=set)
 
@@ -139,11 +146,11 @@
     ...         segments=("guide-" + request, "bad"), begun=True, at=at,
     ...     )
     ...     return suspects.record_crash(run, now=at)
-    >>> crash("e1", "q1", 1.0), crash("e2", "q2", 4.0)
-    (True, True)
-    >>> suspects.block_of("q3", ["guide-q3", "bad"], now=5.0).suspect
+    >>> crash("e1", "q1", 1.0), crash("e2", "q1", 2.0), crash("e3", "q2", 5.0)
+    (True, True, True)
+    >>> suspects.block_of("q3", ["guide-q3", "bad"], now=6.0).suspect
     'bad'
-    >>> suspects.block_of("q4", ["guide-q1"], now=5.0) is None
+    >>> suspects.block_of("q4", ["guide-q1"], now=6.0) is None
     True
     """
 
@@ -259,16 +266,17 @@
         runs = self._counted(item)
         moments = _count_moments(runs)
         requests = len({run.request for run in runs})
-        needed = BLOCKING_COUNT
-        if not all(run.begun for run in runs):
-            needed = BLOCKING_COUNT_WAITING
-        elif name in self.known_good:
-            # It was sound a while ago, so it may have been beside the cause by chance.
-            needed = BLOCKING_COUNT + 1
-        if moments < needed or (requests < needed and not item.is_request):
+        needed_moments, needed_requests = REQUEST_MOMENTS, 1
+        if not item.is_request:
+            needed_moments = SEGMENT_MOMENTS
+            needed_requests = SEGMENT_REQUESTS
+        if name in self.known_good or not all(run.begun for run in runs):
+            needed_moments = SEGMENT_MOMENTS
+            needed_requests = 1 if item.is_request else DOUBTFUL_SEGMENT_REQUESTS
+        if moments < needed_moments or requests < needed_requests:
             return None
         last_at = max(run.at for run in runs)
-        doublings = min(moments - needed, MAX_TEST_DOUBLINGS)
+        doublings = min(moments - needed_moments, MAX_TEST_DOUBLINGS)
         return Block(
             suspect=name,
             moments=moments,
@@ -309,13 +317,17 @@
 
 def _count_moments(runs: list[CrashedRun]) -> int:
     """Return the number of separate moments at which engines crashed."""
-    by_crash: dict[tuple[str, int], float] = {}
+    crashes: dict[tuple[str, int], _Crash] = {}
     for run in runs:
-        by_crash[run.crash] = min(run.at, by_crash.get(run.crash, run.at))
+        crash = crashes.setdefault(run.crash, _Crash(at=run.at))
+        crash.at = min(crash.at, run.at)
+        crash.requests.add(run.request)
     moments = 0
-    moment_at = float("-inf")
-    for at in sorted(by_crash.values()):
-        if at - moment_at >= SAME_MOMENT_S:
+    moment = _Crash(at=float("-inf"))
+    for crash in sorted(crashes.values(), key=lambda item: item.at):
+        apart = crash.at - moment.at >= SAME_MOMENT_S
+        if apart or not crash.requests.isdisjoint(moment.requests):
             moments += 1
-            moment_at = at
+            moment = _Crash(at=crash.at)
+        moment.requests |= crash.requests
     return moments
