Notice departed callers at endivelug-router as well

Callers of the product's own interface could see the same as in: work that begins for a caller that left before its request was read, and work that goes on because bytes after the request hide the end of the connection. The cause, tornado's reading, is the same; found by looking for it elsewhere.

Change: the look at the sockets moves to `_caller_presence`, which both servers use.

--- a/src/endivelug/caller_handler.py
+++ b/src/endivelug/caller_handler.py
@@ -8,6 +8,7 @@
 
 from tornado.web import RequestHandler, stream_request_body
 
+from endivelug._caller_presence import CALLER_CHECK_INTERVAL_S, closed_connections
 from endivelug.authentication import Caller, authenticate
 from endivelug.chat_routing import ChatRouting
 from endivelug.drain import Drain
@@ -149,7 +150,13 @@
             self.refuse(MayHaveRun(kind="internal-error"))
 
     async def run_cancellable(self, work: Any) -> Any:
-        """Await a coroutine that is cancelled when the caller disconnects."""
+        """Await a coroutine that is cancelled when the caller disconnects.
+
+        It does not start if the caller left before the request was read.
+        """
+        if closed_connections([self.request.connection]):
+            work.close()
+            return None
         self.task = asyncio.ensure_future(work)
         try:
             return await self.task
@@ -189,3 +196,13 @@
                 self.set_header("X-Stream-Id", event.stream_id)
         self.write(encode_sse(event))
         await self.flush()
+
+
+async def watch_callers(handlers: set[CallerHandler]) -> None:
+    """Cancel the work for callers that left unnoticed, until cancelled itself."""
+    while True:
+        await asyncio.sleep(CALLER_CHECK_INTERVAL_S)
+        closed = closed_connections(item.request.connection for item in handlers)
+        for handler in list(handlers):
+            if handler.request.connection in closed:
+                handler.on_connection_close()
--- a/src/endivelug/forwarding/front_server.py
+++ b/src/endivelug/forwarding/front_server.py
@@ -1,8 +1,7 @@
 """The HTTP/1.1 server for callers, built on tornado's server connections."""
 
 import asyncio
-import select
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable
 from http.client import responses
 from typing import Any, cast
 
@@ -18,15 +17,13 @@
 )
 from tornado.iostream import StreamClosedError
 
+from endivelug._caller_presence import CALLER_CHECK_INTERVAL_S, closed_connections
 from endivelug.exceptions import CallerLeft
 from endivelug.forwarding.upstream_connection import Headers
 
 # Longer than the idle time that the configuration grants to callers; the limit of file
 # descriptors of a VM already bounds the number of its idle connections.
 IDLE_TIMEOUT_S = 300.0
-# Tornado reads the end of a connection only once everything before it has been read, so
-# the callers of requests in progress are looked at in this interval too.
-CALLER_CHECK_INTERVAL_S = 0.2
 MAX_BODY_BYTES = 16 * 1024 * 1024
 MAX_HEADER_BYTES = 64 * 1024
 
@@ -82,7 +79,7 @@
         CallerLeft
             If the caller has closed the connection.
         """
-        if departed([self]):
+        if self.disconnected or closed_connections([self.connection]):
             raise CallerLeft("the caller closed the connection; drop the request")
 
     def finish(self) -> None:
@@ -104,27 +101,6 @@
             raise CallerLeft("the connection is closed; drop the request") from error
 
 
-def departed(writers: Iterable[Writer]) -> list[Writer]:
-    """Return the writers whose callers have closed their connections.
-
-    All are looked at in one system call.
-    """
-    closed: list[Writer] = []
-    by_descriptor: dict[int, Writer] = {}
-    poller = select.poll()
-    for writer in writers:
-        stream: Any = getattr(writer.connection, "stream", None)
-        if writer.disconnected or stream is None or stream.closed():
-            closed.append(writer)
-            continue
-        descriptor = stream.socket.fileno()
-        by_descriptor[descriptor] = writer
-        poller.register(descriptor, select.POLLRDHUP)
-    if by_descriptor:
-        closed += [by_descriptor[ready] for ready, _ in poller.poll(0)]
-    return closed
-
-
 def _default_reason(status: int) -> str:
     return responses.get(status, "Unknown")
 
@@ -231,9 +207,11 @@
         """Cancel the requests whose callers have left, until cancelled itself."""
         while True:
             await asyncio.sleep(CALLER_CHECK_INTERVAL_S)
-            for writer in departed(list(self.tasks)):
-                writer.disconnected = True
-                self.tasks[writer].cancel()
+            closed = closed_connections(writer.connection for writer in self.tasks)
+            for writer, task in self.tasks.items():
+                if writer.connection in closed:
+                    writer.disconnected = True
+                    task.cancel()
 
     def listen(self, address: str) -> None:
         """Listen on an IP address and port."""
--- a/src/endivelug/router.py
+++ b/src/endivelug/router.py
@@ -18,7 +18,7 @@
 from endivelug.admission import Admission
 from endivelug.admission_gate import AdmissionGate
 from endivelug.busiest import BusiestOrganisations
-from endivelug.caller_handler import HandlerContext
+from endivelug.caller_handler import HandlerContext, watch_callers
 from endivelug.chat_routing import ChatRouting, engine_group
 from endivelug.claim_writer import ClaimWriter
 from endivelug.drain import Drain, run_drain
@@ -174,6 +174,7 @@
             asyncio.create_task(self.shares.run()),
             asyncio.create_task(self._rotate_labels()),
             asyncio.create_task(self._log_readiness()),
+            asyncio.create_task(watch_callers(self.context.in_flight)),
         ]
 
     async def drain(self) -> bool:
