--- a/src/endivelug/forwarding/neighbour_sums.py
+++ b/src/endivelug/forwarding/neighbour_sums.py
@@ -45,19 +45,35 @@
         )
 
 
-class RetryCount(NamedTuple):
-    """Requests to a service and their retries, within the window of the budget."""
+class ServiceCount(NamedTuple):
+    """Requests to a service and their retries within the window of the budget.
+
+    ``waiting`` and ``waiting_long`` are the requests that wait for an instance, with
+    short and with long prompts.
+    """
 
     requests: int = 0
     retries: int = 0
+    waiting: int = 0
+    waiting_long: int = 0
 
-    def plus(self, other: "RetryCount") -> "RetryCount":
+    def plus(self, other: "ServiceCount") -> "ServiceCount":
         """Return the sum."""
-        return RetryCount(self.requests + other.requests, self.retries + other.retries)
+        return ServiceCount(
+            self.requests + other.requests,
+            self.retries + other.retries,
+            self.waiting + other.waiting,
+            self.waiting_long + other.waiting_long,
+        )
 
-    def minus(self, other: "RetryCount") -> "RetryCount":
+    def minus(self, other: "ServiceCount") -> "ServiceCount":
         """Return the difference."""
-        return RetryCount(self.requests - other.requests, self.retries - other.retries)
+        return ServiceCount(
+            self.requests - other.requests,
+            self.retries - other.retries,
+            self.waiting - other.waiting,
+            self.waiting_long - other.waiting_long,
+        )
 
 
 class _Summable(Protocol):
--- a/src/endivelug/forwarding/peer_messages.py
+++ b/src/endivelug/forwarding/peer_messages.py
@@ -8,7 +8,7 @@
 from typing import ClassVar
 
 from endivelug.forwarding.instance_load import LoadReport
-from endivelug.forwarding.retry_budget import RetryReport
+from endivelug.forwarding.retry_budget import ServiceReport
 
 
 class NoticeKind(StrEnum):
@@ -160,7 +160,7 @@
     lease_s: float
     tables: list[TableVersion]
     work: list[LoadReport]
-    retries: list[RetryReport]
+    services: list[ServiceReport]
     notices: list[Mark]
     weights: list[EngineWeights]
     parts: list[HeldPart]
@@ -268,7 +268,7 @@
 # Types of the list items in these messages, for the codec.
 RECORDS = (
     LoadReport,
-    RetryReport,
+    ServiceReport,
     Mark,
     EngineWeights,
     HeldPart,
--- a/src/endivelug/forwarding/peer_reports.py
+++ b/src/endivelug/forwarding/peer_reports.py
@@ -9,7 +9,6 @@
 from endivelug.forwarding.neighbour_sums import (
     Amount,
     NeighbourSums,
-    RetryCount,
     SentAmounts,
 )
 from endivelug.forwarding.peer_messages import (
@@ -22,7 +21,7 @@
 from endivelug.forwarding.prompt_cache import PromptSegment
 from endivelug.forwarding.refused_callers import RefusedCallers
 from endivelug.forwarding.report_builder import ReportBuilder
-from endivelug.forwarding.retry_budget import SharedRetryBudget
+from endivelug.forwarding.retry_budget import SharedRetryBudget, count_of_report
 
 # Longest time for which a peer's notice is valid.
 MAX_NOTICE_S = 5.0
@@ -148,19 +147,16 @@
             acknowledged=acknowledged,
         )
         self.view.loads.apply_changes(vm, loads, now=self.clock())
-        retries = _changes(
+        services = _changes(
             self.budget.neighbours,
             vm,
-            stated=neighbour.stated_retries,
-            changed={
-                item.service: RetryCount(item.requests, item.retries)
-                for item in report.retries
-            },
+            stated=neighbour.stated_services,
+            changed={item.service: count_of_report(item) for item in report.services},
             full=report.full,
-            sent=neighbour.sent_retries,
+            sent=neighbour.sent_services,
             acknowledged=acknowledged,
         )
-        for service, count in retries.items():
+        for service, count in services.items():
             self.budget.neighbours.set(vm, service, count)
 
     def _apply_notices(self, vm: str, notices: list[Mark]) -> None:
--- a/src/endivelug/forwarding/report_builder.py
+++ b/src/endivelug/forwarding/report_builder.py
@@ -10,7 +10,7 @@
 from enum import Enum
 
 from endivelug.forwarding.cluster_view import ClusterView
-from endivelug.forwarding.instance_load import LoadReport
+from endivelug.forwarding.instance_load import LoadReport, report_of_load
 from endivelug.forwarding.instances import Instance
 from endivelug.forwarding.neighbour import NO_MEMBER
 from endivelug.forwarding.neighbour_sums import Amount, NeighbourSums
@@ -24,7 +24,11 @@
     WantedAge,
 )
 from endivelug.forwarding.report_stream import PendingNotice, ReportStream, Standing
-from endivelug.forwarding.retry_budget import RetryReport, SharedRetryBudget
+from endivelug.forwarding.retry_budget import (
+    ServiceReport,
+    SharedRetryBudget,
+    report_of_count,
+)
 
 # Observed weights are reported for this long. After that the registry lists them,
 # because the engine's next heartbeat carries the new version.
@@ -87,7 +91,7 @@
         self.weights: dict[EngineWeights, tuple[float, bool]] = {}
         self._expire_at = 0.0
         self._orders: dict[str, float] = {}
-        self._own_retries: dict[str, tuple[int, ...]] = {}
+        self._own_services: dict[str, tuple[int, ...]] = {}
 
     def add_notice(
         self,
@@ -140,12 +144,12 @@
     def collect_changes(self) -> None:
         """Move what has changed since the last call to the streams."""
         self._collect_orders()
-        self._collect_retries()
+        self._collect_services()
         if self.clock() >= self._expire_at:
             self._expire(self.clock())
         for stream in self.streams.values():
             stream.loads |= self.view.loads.neighbours.changed
-            stream.retries |= self.budget.neighbours.changed
+            stream.services |= self.budget.neighbours.changed
         self.view.loads.neighbours.changed.clear()
         self.budget.neighbours.changed.clear()
 
@@ -178,7 +182,7 @@
             lease_s=round(self.lease_remaining_s(), 1),
             tables=tables,
             work=self._loads(audience, stream.loads),
-            retries=self._retries(audience, stream.retries),
+            services=self._services(audience, stream.services),
             notices=[_mark(notice, now) for notice in stream.take_notices()],
             weights=list(stream.weights),
             parts=stream.take_segments(),
@@ -186,7 +190,7 @@
         )
         stream.announced.update(self._observed_announcements())
         stream.loads.clear()
-        stream.retries.clear()
+        stream.services.clear()
         stream.weights.clear()
         return report
 
@@ -206,8 +210,8 @@
         load_keys.update(
             name for name, load in self.view.loads.loads.items() if any(load.own)
         )
-        retry_keys = self._known_keys(self.budget.neighbours, audience)
-        retry_keys.update(self.budget.counts)
+        service_keys = self._known_keys(self.budget.neighbours, audience)
+        service_keys.update(self.budget.counts)
         return RouterReport(
             sequence=stream.sequence,
             full=True,
@@ -225,7 +229,7 @@
                 for table, version in self.view.latest_versions.items()
             ],
             work=self._loads(audience, load_keys),
-            retries=self._retries(audience, retry_keys),
+            services=self._services(audience, service_keys),
             notices=[
                 _mark(notice, now)
                 for notice, from_relay in self.notices.values()
@@ -256,7 +260,7 @@
             lease_s=round(self.lease_remaining_s(), 1),
             tables=[],
             work=[],
-            retries=[],
+            services=[],
             notices=[],
             weights=[],
             parts=[],
@@ -280,12 +284,12 @@
             del self._orders[name]
             self.add_notice(name, NoticeKind.ORDER, until=now)
 
-    def _collect_retries(self) -> None:
+    def _collect_services(self) -> None:
         now = self.clock()
         for service in self.budget.counts:
             own = self.budget.own(service, now=now)
-            if own != self._own_retries.get(service):
-                self._own_retries[service] = own
+            if own != self._own_services.get(service):
+                self._own_services[service] = own
                 self.budget.neighbours.changed.add(service)
 
     def _loads(self, audience: Audience, keys: Collection[str]) -> list[LoadReport]:
@@ -294,18 +298,11 @@
             key: self._sum(loads.own(key), loads.neighbours, key, audience)
             for key in keys
         }
-        return [
-            LoadReport(
-                instance=key,
-                requests=amount.requests,
-                uncached_tokens=amount.uncached_tokens,
-                memory_tokens=amount.memory_tokens,
-                heard=amount.heard,
-            )
-            for key, amount in amounts.items()
-        ]
+        return [report_of_load(key, amount) for key, amount in amounts.items()]
 
-    def _retries(self, audience: Audience, keys: Collection[str]) -> list[RetryReport]:
+    def _services(
+        self, audience: Audience, keys: Collection[str]
+    ) -> list[ServiceReport]:
         now = self.clock()
         amounts = {
             key: self._sum(
@@ -313,10 +310,7 @@
             )
             for key in keys
         }
-        return [
-            RetryReport(service=key, requests=amount.requests, retries=amount.retries)
-            for key, amount in amounts.items()
-        ]
+        return [report_of_count(key, amount) for key, amount in amounts.items()]
 
     def _sum(
         self, own: Amount, sums: NeighbourSums[Amount], key: str, audience: Audience
