--- a/src/endivelug/forwarding/dispatcher.py
+++ b/src/endivelug/forwarding/dispatcher.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass
 
 from endivelug.forwarding.calls import Call
-from endivelug.forwarding.engine_candidates import is_long
 from endivelug.forwarding.instance_load import Work
 from endivelug.forwarding.placement import Placement, Placer
 from endivelug.forwarding.request_queue import QueuedRequest, RequestQueue
@@ -40,9 +39,6 @@
         self.waiters: dict[str, _Waiter] = {}
         self._scheduled = False
         self._has_waiters = asyncio.Event()
-        self._waiting: dict[str, tuple[int, int]] = {}
-        # Called when the number of waiting calls changes.
-        self.on_waiting: Callable[[], None] = lambda: None
 
     async def place(
         self, call: Call, *, expires_at: float, returning: bool
@@ -70,19 +66,6 @@
             if not self.waiters:
                 self._has_waiters.clear()
 
-    def waiting(self, service: str) -> tuple[int, int]:
-        """Return how many calls wait for a service, with short and long prompts."""
-        return self._waiting.get(service, (0, 0))
-
-    def _count_waiting(self, call: Call, change: int) -> None:
-        short, long = self.waiting(call.service)
-        if is_long(call):
-            long += change
-        else:
-            short += change
-        self._waiting[call.service] = (short, long)
-        self.on_waiting()
-
     def queue_length(self, service: str) -> int:
         """Return the number of calls that wait for a service."""
         return self.queue.count(service)
@@ -101,7 +84,6 @@
         future: asyncio.Future[Placement] = asyncio.get_running_loop().create_future()
         self.waiters[request] = _Waiter(call=call, future=future)
         self._has_waiters.set()
-        self._count_waiting(call, 1)
         self.queue.add(
             QueuedRequest(
                 request=request,
@@ -131,7 +113,6 @@
         finally:
             self.queue.remove(request)
             del self.waiters[request]
-            self._count_waiting(call, -1)
 
     def _assign(self) -> None:
         self._scheduled = False
@@ -153,8 +134,6 @@
 
     def add_work(self, call: Call, placement: Placement) -> None:
         """Add a placed call to the work of its instance."""
-        if placement.weights is not None:
-            self.placer.engines.record_sent(call, placement.instance.name)
         self.placer.view.loads.add_work(
             placement.instance.name,
             Work(
--- a/src/endivelug/forwarding/engine_candidates.py
+++ b/src/endivelug/forwarding/engine_candidates.py
@@ -15,12 +15,10 @@
 )
 from endivelug.forwarding.cluster_view import ClusterView
 from endivelug.forwarding.copy_sources import CopySource, CopySources
-from endivelug.forwarding.engine_choice import LONG_PROMPT_TOKENS, EngineState
-from endivelug.forwarding.fleet import Fleet
+from endivelug.forwarding.engine_choice import EngineState
 from endivelug.forwarding.instance_load import InstanceLoad
 from endivelug.forwarding.instances import Instance
 from endivelug.forwarding.routes import EngineLimits
-from endivelug.forwarding.slot_shares import SlotShares
 from endivelug.forwarding.wait_reasons import WaitReason
 
 # Samples of engines that are weighed for one request before it waits.
@@ -55,6 +53,22 @@
     current: bool
 
 
+@dataclass(slots=True, kw_only=True)
+class Fleet:
+    """Size and traffic of all VMs together.
+
+    Attributes
+    ----------
+    vms : int
+        Number of live VMs.
+    requests_per_s : callable
+        Returns the rate of the requests of all VMs to a service.
+    """
+
+    vms: int = 1
+    requests_per_s: Callable[[str], float] = lambda service: 0.0
+
+
 class EngineCandidates:
     """Finds the engines for a call, and describes them for the choice.
 
@@ -84,16 +98,14 @@
         self.weights_usable_s = weights_usable_s
         self.clock = clock
         self.rng = rng
-        self.shares = SlotShares(rng=rng)
 
     def usable_engines(
         self,
         call: Call,
-        limits: EngineLimits,
         candidates: list[tuple[Instance, InstanceLoad]],
         blocked: Counter[WaitReason],
     ) -> list[UsableEngine]:
-        """Return the engines that this VM may use; count the others as blocked."""
+        """Return the engines whose weights can be used; count the others as blocked."""
         model, now = call.request.model or "", self.clock()
         desired = self.view.desired_weights.get(model)
         usable = []
@@ -105,8 +117,6 @@
                 version, after_s=self.weights_usable_s
             ):
                 blocked[WaitReason.OUTDATED] += 1
-            elif not self._has_share(call, limits, instance.name):
-                blocked[WaitReason.NO_SHARE] += 1
             else:
                 usable.append(
                     UsableEngine(
@@ -118,28 +128,6 @@
                 )
         return usable
 
-    def record_sent(self, call: Call, engine: str) -> None:
-        """Count a call that is sent to an engine."""
-        self.shares.record_sent(engine, long=is_long(call), now=self.clock())
-
-    def _has_share(self, call: Call, limits: EngineLimits, engine: str) -> bool:
-        """Return whether this VM may take one of the free slots of an engine."""
-        total = self.view.loads.total(engine)
-        if total.requests >= limits.slots:
-            # Blocked for the want of a slot.
-            return True
-        long = is_long(call)
-        own, everywhere = self.fleet.waiting(call.service, long=long)
-        return self.shares.may_send(
-            engine,
-            long=long,
-            # An engine prefills one long prompt at a time.
-            free=1 if long else limits.slots - total.requests,
-            waiting=max(1, own),
-            waiting_everywhere=everywhere,
-            now=self.clock(),
-        )
-
     def samples(
         self, call: Call, limits: EngineLimits, usable: list[UsableEngine]
     ) -> list[list[UsableEngine]]:
@@ -266,8 +254,3 @@
 def _has_long_prefix(call: Call) -> bool:
     segments = call.request.prompt
     return bool(segments) and segments[0].tokens >= LONG_SEGMENT_TOKENS
-
-
-def is_long(call: Call) -> bool:
-    """Return whether a call has a long prompt, which an engine prefills by itself."""
-    return call.request.prompt_tokens >= LONG_PROMPT_TOKENS
--- a/src/endivelug/forwarding/instance_load.py
+++ b/src/endivelug/forwarding/instance_load.py
@@ -251,14 +251,3 @@
         memory_tokens=report.memory_tokens,
         heard=report.heard,
     )
-
-
-def report_of_load(instance: str, load: Load) -> LoadReport:
-    """Return the report of the requests at an instance."""
-    return LoadReport(
-        instance=instance,
-        requests=load.requests,
-        uncached_tokens=load.uncached_tokens,
-        memory_tokens=load.memory_tokens,
-        heard=load.heard,
-    )
--- a/src/endivelug/forwarding/neighbour.py
+++ b/src/endivelug/forwarding/neighbour.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from endivelug.forwarding.neighbour_sums import Load, SentAmounts, ServiceCount
+from endivelug.forwarding.neighbour_sums import Load, RetryCount, SentAmounts
 
 # Number of a VM to which the sender of a report has given none: it is a relay, or the
 # sender is not.
@@ -46,9 +46,9 @@
         Whether a report is missing before the last one, so that a full one is needed.
     own_number : int
         Number that it, as the relay of this VM, has given to this VM.
-    stated_loads, stated_services : dict
+    stated_loads, stated_retries : dict
         Amounts as it stated them. The totals of a relay include those of this VM.
-    sent_loads, sent_services : SentAmounts
+    sent_loads, sent_retries : SentAmounts
         What this VM has reported to it.
     """
 
@@ -69,10 +69,10 @@
     missed: bool = False
     own_number: int = NO_MEMBER
     stated_loads: dict[str, Load] = field(default_factory=dict)
-    stated_services: dict[str, ServiceCount] = field(default_factory=dict)
+    stated_retries: dict[str, RetryCount] = field(default_factory=dict)
     sent_loads: SentAmounts[Load] = field(
         default_factory=lambda: SentAmounts(zero=Load())
     )
-    sent_services: SentAmounts[ServiceCount] = field(
-        default_factory=lambda: SentAmounts(zero=ServiceCount())
+    sent_retries: SentAmounts[RetryCount] = field(
+        default_factory=lambda: SentAmounts(zero=RetryCount())
     )
--- a/src/endivelug/forwarding/neighbour_sums.py
+++ b/src/endivelug/forwarding/neighbour_sums.py
@@ -45,35 +45,19 @@
         )
 
 
-class ServiceCount(NamedTuple):
-    """Requests to a service and their retries within the window of the budget.
-
-    ``waiting`` and ``waiting_long`` are the requests that wait for an instance, with
-    short and with long prompts.
-    """
+class RetryCount(NamedTuple):
+    """Requests to a service and their retries, within the window of the budget."""
 
     requests: int = 0
     retries: int = 0
-    waiting: int = 0
-    waiting_long: int = 0
 
-    def plus(self, other: "ServiceCount") -> "ServiceCount":
+    def plus(self, other: "RetryCount") -> "RetryCount":
         """Return the sum."""
-        return ServiceCount(
-            self.requests + other.requests,
-            self.retries + other.retries,
-            self.waiting + other.waiting,
-            self.waiting_long + other.waiting_long,
-        )
+        return RetryCount(self.requests + other.requests, self.retries + other.retries)
 
-    def minus(self, other: "ServiceCount") -> "ServiceCount":
+    def minus(self, other: "RetryCount") -> "RetryCount":
         """Return the difference."""
-        return ServiceCount(
-            self.requests - other.requests,
-            self.retries - other.retries,
-            self.waiting - other.waiting,
-            self.waiting_long - other.waiting_long,
-        )
+        return RetryCount(self.requests - other.requests, self.retries - other.retries)
 
 
 class _Summable(Protocol):
--- a/src/endivelug/forwarding/node.py
+++ b/src/endivelug/forwarding/node.py
@@ -20,7 +20,6 @@
 from endivelug.forwarding.decision_log import DecisionLog
 from endivelug.forwarding.dispatcher import Dispatcher
 from endivelug.forwarding.first_bytes import FirstByteRecorder
-from endivelug.forwarding.fleet import Fleet
 from endivelug.forwarding.forwarder import UNREACHABLE_AVOID_S, Forwarder
 from endivelug.forwarding.front_server import FrontServer, Writer
 from endivelug.forwarding.instances import Instance
@@ -101,18 +100,16 @@
             slack=settings.retry_slack,
             window_s=settings.retry_window_s,
         )
-        self.fleet = Fleet(budget=self.budget, clock=self.clock)
         self.placer = Placer(
             view=self.view,
             data_centre=settings.data_centre,
             weights_limit_s=settings.weights_limit_s,
-            fleet=self.fleet,
             clock=self.clock,
             rng=rng,
         )
+        self.placer.fleet.requests_per_s = self._requests_per_s
         self.dispatcher = Dispatcher(placer=self.placer, clock=self.clock)
         self.view.on_change = self.dispatcher.schedule_assignment
-        self.budget.waiting = self.dispatcher.waiting
         self.sync = StateSync(
             store=self.platform.store, view=self.view, rng=rng, log=log
         )
@@ -138,7 +135,6 @@
         self.refused = RefusedCallers()
         self.suspects = CrashSuspects(vm=settings.vm)
         self.peers = self._make_peers()
-        self.dispatcher.on_waiting = self.peers.rounds.note_change
         self.join = VmJoin(
             peers=self.peers,
             rows=VmRows(
@@ -313,7 +309,10 @@
             self.view.forget_idle_loads()
             # A VM that is partitioned from this one still spends its share.
             self.budget.vms = self.peers.max_vms
-            self.fleet.vms = self.peers.vms
+            self.placer.fleet.vms = self.peers.vms
+
+    def _requests_per_s(self, service: str) -> float:
+        return self.budget.requests_per_s(service, now=self.clock())
 
     def _is_candidate(self) -> bool:
         """Return whether this VM should try to acquire the order lease.
--- a/src/endivelug/forwarding/peer_messages.py
+++ b/src/endivelug/forwarding/peer_messages.py
@@ -8,7 +8,7 @@
 from typing import ClassVar
 
 from endivelug.forwarding.instance_load import LoadReport
-from endivelug.forwarding.retry_budget import ServiceReport
+from endivelug.forwarding.retry_budget import RetryReport
 
 
 class NoticeKind(StrEnum):
@@ -160,7 +160,7 @@
     lease_s: float
     tables: list[TableVersion]
     work: list[LoadReport]
-    services: list[ServiceReport]
+    retries: list[RetryReport]
     notices: list[Mark]
     weights: list[EngineWeights]
     parts: list[HeldPart]
@@ -268,7 +268,7 @@
 # Types of the list items in these messages, for the codec.
 RECORDS = (
     LoadReport,
-    ServiceReport,
+    RetryReport,
     Mark,
     EngineWeights,
     HeldPart,
--- a/src/endivelug/forwarding/peer_reports.py
+++ b/src/endivelug/forwarding/peer_reports.py
@@ -9,6 +9,7 @@
 from endivelug.forwarding.neighbour_sums import (
     Amount,
     NeighbourSums,
+    RetryCount,
     SentAmounts,
 )
 from endivelug.forwarding.peer_messages import (
@@ -21,7 +22,7 @@
 from endivelug.forwarding.prompt_cache import PromptSegment
 from endivelug.forwarding.refused_callers import RefusedCallers
 from endivelug.forwarding.report_builder import ReportBuilder
-from endivelug.forwarding.retry_budget import SharedRetryBudget, count_of_report
+from endivelug.forwarding.retry_budget import SharedRetryBudget
 
 # Longest time for which a peer's notice is valid.
 MAX_NOTICE_S = 5.0
@@ -147,16 +148,19 @@
             acknowledged=acknowledged,
         )
         self.view.loads.apply_changes(vm, loads, now=self.clock())
-        services = _changes(
+        retries = _changes(
             self.budget.neighbours,
             vm,
-            stated=neighbour.stated_services,
-            changed={item.service: count_of_report(item) for item in report.services},
+            stated=neighbour.stated_retries,
+            changed={
+                item.service: RetryCount(item.requests, item.retries)
+                for item in report.retries
+            },
             full=report.full,
-            sent=neighbour.sent_services,
+            sent=neighbour.sent_retries,
             acknowledged=acknowledged,
         )
-        for service, count in services.items():
+        for service, count in retries.items():
             self.budget.neighbours.set(vm, service, count)
 
     def _apply_notices(self, vm: str, notices: list[Mark]) -> None:
--- a/src/endivelug/forwarding/placement.py
+++ b/src/endivelug/forwarding/placement.py
@@ -15,6 +15,7 @@
 from endivelug.forwarding.engine_candidates import (
     Candidate,
     EngineCandidates,
+    Fleet,
     UsableEngine,
 )
 from endivelug.forwarding.engine_choice import (
@@ -25,7 +26,6 @@
     Prompt,
     choose_engine,
 )
-from endivelug.forwarding.fleet import Fleet
 from endivelug.forwarding.instance_load import InstanceLoad
 from endivelug.forwarding.instances import Instance
 from endivelug.forwarding.prompt_cache import PromptSegment
@@ -86,10 +86,13 @@
         Data centre of this VM.
     weights_limit_s : float
         Time after which no request may start on weights that were replaced.
-    fleet : Fleet
-        Size and traffic of all VMs.
     rng : random.Random
         Source of the samples of engines.
+
+    Attributes
+    ----------
+    fleet : Fleet
+        Size and traffic of all VMs; the owner keeps it up to date.
     """
 
     def __init__(
@@ -98,7 +101,6 @@
         view: ClusterView,
         data_centre: str,
         weights_limit_s: float,
-        fleet: Fleet,
         clock: Callable[[], float],
         rng: random.Random,
     ) -> None:
@@ -106,7 +108,7 @@
         self.data_centre = data_centre
         self.clock = clock
         self.rates: dict[str, PrefillRate] = {}
-        self.fleet = fleet
+        self.fleet = Fleet()
         self.lookup = CacheLookup(view=view, clock=clock)
         self.engines = EngineCandidates(
             view=view,
@@ -191,7 +193,7 @@
         candidates: list[tuple[Instance, InstanceLoad]],
         blocked: Counter[WaitReason],
     ) -> Placement | NoPlacement:
-        usable = self.engines.usable_engines(call, limits, candidates, blocked)
+        usable = self.engines.usable_engines(call, candidates, blocked)
         for sample in self.engines.samples(call, limits, usable):
             result = self._place_on(call, limits, sample)
             if isinstance(result, Placement):
--- a/src/endivelug/forwarding/report_builder.py
+++ b/src/endivelug/forwarding/report_builder.py
@@ -10,7 +10,7 @@
 from enum import Enum
 
 from endivelug.forwarding.cluster_view import ClusterView
-from endivelug.forwarding.instance_load import LoadReport, report_of_load
+from endivelug.forwarding.instance_load import LoadReport
 from endivelug.forwarding.instances import Instance
 from endivelug.forwarding.neighbour import NO_MEMBER
 from endivelug.forwarding.neighbour_sums import Amount, NeighbourSums
@@ -24,11 +24,7 @@
     WantedAge,
 )
 from endivelug.forwarding.report_stream import PendingNotice, ReportStream, Standing
-from endivelug.forwarding.retry_budget import (
-    ServiceReport,
-    SharedRetryBudget,
-    report_of_count,
-)
+from endivelug.forwarding.retry_budget import RetryReport, SharedRetryBudget
 
 # Observed weights are reported for this long. After that the registry lists them,
 # because the engine's next heartbeat carries the new version.
@@ -91,7 +87,7 @@
         self.weights: dict[EngineWeights, tuple[float, bool]] = {}
         self._expire_at = 0.0
         self._orders: dict[str, float] = {}
-        self._own_services: dict[str, tuple[int, ...]] = {}
+        self._own_retries: dict[str, tuple[int, ...]] = {}
 
     def add_notice(
         self,
@@ -144,12 +140,12 @@
     def collect_changes(self) -> None:
         """Move what has changed since the last call to the streams."""
         self._collect_orders()
-        self._collect_services()
+        self._collect_retries()
         if self.clock() >= self._expire_at:
             self._expire(self.clock())
         for stream in self.streams.values():
             stream.loads |= self.view.loads.neighbours.changed
-            stream.services |= self.budget.neighbours.changed
+            stream.retries |= self.budget.neighbours.changed
         self.view.loads.neighbours.changed.clear()
         self.budget.neighbours.changed.clear()
 
@@ -182,7 +178,7 @@
             lease_s=round(self.lease_remaining_s(), 1),
             tables=tables,
             work=self._loads(audience, stream.loads),
-            services=self._services(audience, stream.services),
+            retries=self._retries(audience, stream.retries),
             notices=[_mark(notice, now) for notice in stream.take_notices()],
             weights=list(stream.weights),
             parts=stream.take_segments(),
@@ -190,7 +186,7 @@
         )
         stream.announced.update(self._observed_announcements())
         stream.loads.clear()
-        stream.services.clear()
+        stream.retries.clear()
         stream.weights.clear()
         return report
 
@@ -210,8 +206,8 @@
         load_keys.update(
             name for name, load in self.view.loads.loads.items() if any(load.own)
         )
-        service_keys = self._known_keys(self.budget.neighbours, audience)
-        service_keys.update(self.budget.counts)
+        retry_keys = self._known_keys(self.budget.neighbours, audience)
+        retry_keys.update(self.budget.counts)
         return RouterReport(
             sequence=stream.sequence,
             full=True,
@@ -229,7 +225,7 @@
                 for table, version in self.view.latest_versions.items()
             ],
             work=self._loads(audience, load_keys),
-            services=self._services(audience, service_keys),
+            retries=self._retries(audience, retry_keys),
             notices=[
                 _mark(notice, now)
                 for notice, from_relay in self.notices.values()
@@ -260,7 +256,7 @@
             lease_s=round(self.lease_remaining_s(), 1),
             tables=[],
             work=[],
-            services=[],
+            retries=[],
             notices=[],
             weights=[],
             parts=[],
@@ -284,12 +280,12 @@
             del self._orders[name]
             self.add_notice(name, NoticeKind.ORDER, until=now)
 
-    def _collect_services(self) -> None:
+    def _collect_retries(self) -> None:
         now = self.clock()
         for service in self.budget.counts:
             own = self.budget.own(service, now=now)
-            if own != self._own_services.get(service):
-                self._own_services[service] = own
+            if own != self._own_retries.get(service):
+                self._own_retries[service] = own
                 self.budget.neighbours.changed.add(service)
 
     def _loads(self, audience: Audience, keys: Collection[str]) -> list[LoadReport]:
@@ -298,11 +294,18 @@
             key: self._sum(loads.own(key), loads.neighbours, key, audience)
             for key in keys
         }
-        return [report_of_load(key, amount) for key, amount in amounts.items()]
+        return [
+            LoadReport(
+                instance=key,
+                requests=amount.requests,
+                uncached_tokens=amount.uncached_tokens,
+                memory_tokens=amount.memory_tokens,
+                heard=amount.heard,
+            )
+            for key, amount in amounts.items()
+        ]
 
-    def _services(
-        self, audience: Audience, keys: Collection[str]
-    ) -> list[ServiceReport]:
+    def _retries(self, audience: Audience, keys: Collection[str]) -> list[RetryReport]:
         now = self.clock()
         amounts = {
             key: self._sum(
@@ -310,7 +313,10 @@
             )
             for key in keys
         }
-        return [report_of_count(key, amount) for key, amount in amounts.items()]
+        return [
+            RetryReport(service=key, requests=amount.requests, retries=amount.retries)
+            for key, amount in amounts.items()
+        ]
 
     def _sum(
         self, own: Amount, sums: NeighbourSums[Amount], key: str, audience: Audience
--- a/src/endivelug/forwarding/report_sender.py
+++ b/src/endivelug/forwarding/report_sender.py
@@ -8,11 +8,11 @@
 from endivelug.forwarding.cluster_view import LogLine
 from endivelug.forwarding.instance_load import load_of_report
 from endivelug.forwarding.neighbour import NO_MEMBER, Neighbour
+from endivelug.forwarding.neighbour_sums import RetryCount
 from endivelug.forwarding.peer_messages import RouterReport
 from endivelug.forwarding.report_builder import Audience, ReportBuilder
 from endivelug.forwarding.report_rounds import HEARTBEAT_S
 from endivelug.forwarding.report_stream import Standing
-from endivelug.forwarding.retry_budget import count_of_report
 from endivelug.links import Link
 
 
@@ -146,8 +146,11 @@
         {item.instance: load_of_report(item) for item in report.work},
         full=report.full,
     )
-    neighbour.sent_services.record(
+    neighbour.sent_retries.record(
         report.sequence,
-        {item.service: count_of_report(item) for item in report.services},
+        {
+            item.service: RetryCount(item.requests, item.retries)
+            for item in report.retries
+        },
         full=report.full,
     )
--- a/src/endivelug/forwarding/retry_budget.py
+++ b/src/endivelug/forwarding/retry_budget.py
@@ -7,10 +7,9 @@
 """
 
 from collections import deque
-from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from endivelug.forwarding.neighbour_sums import NeighbourSums, ServiceCount
+from endivelug.forwarding.neighbour_sums import NeighbourSums, RetryCount
 
 # Share of the budget that is used; the rest covers retries that peers have not
 # reported yet.
@@ -50,14 +49,12 @@
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
-class ServiceReport:
-    """Requests of one or several VMs to one service, as in ``ServiceCount``."""
+class RetryReport:
+    """Requests and retries of one or several VMs to one service in the window."""
 
     service: str
     requests: int
     retries: int
-    waiting: int
-    waiting_long: int
 
 
 @dataclass(slots=True, kw_only=True)
@@ -81,11 +78,8 @@
         use an equal share of the slack.
     counts : dict of str to _Counts
         Requests and retries of this VM by service.
-    neighbours : NeighbourSums of ServiceCount
+    neighbours : NeighbourSums of RetryCount
         What the neighbours report, by service.
-    waiting : callable
-        Returns the requests of this VM that wait for an instance of a service, with
-        short and with long prompts.
     represented_vms : dict of str to int
         Number of VMs that the reports of each neighbour cover.
     """
@@ -95,11 +89,10 @@
     window_s: float
     vms: int = 1
     counts: dict[str, _Counts] = field(default_factory=dict)
-    neighbours: NeighbourSums[ServiceCount] = field(
-        default_factory=lambda: NeighbourSums(zero=ServiceCount())
+    neighbours: NeighbourSums[RetryCount] = field(
+        default_factory=lambda: NeighbourSums(zero=RetryCount())
     )
     represented_vms: dict[str, int] = field(default_factory=dict)
-    waiting: Callable[[str], tuple[int, int]] = lambda service: (0, 0)
 
     def record_request(self, service: str, *, now: float) -> None:
         """Count a caller's request to a service."""
@@ -142,15 +135,12 @@
         own = self._counts_of(service).requests.total(now=now)
         return (own + self.neighbours.total(service).requests) / self.window_s
 
-    def own(self, service: str, *, now: float) -> ServiceCount:
+    def own(self, service: str, *, now: float) -> RetryCount:
         """Return the counts of this VM."""
         counts = self._counts_of(service)
-        waiting, waiting_long = self.waiting(service)
-        return ServiceCount(
+        return RetryCount(
             requests=counts.requests.total(now=now),
             retries=counts.retries.total(now=now),
-            waiting=waiting,
-            waiting_long=waiting_long,
         )
 
     def forget(self, vm: str) -> None:
@@ -167,24 +157,3 @@
             )
             self.counts[service] = counts
         return counts
-
-
-def count_of_report(report: ServiceReport) -> ServiceCount:
-    """Return the counts of a report."""
-    return ServiceCount(
-        requests=report.requests,
-        retries=report.retries,
-        waiting=report.waiting,
-        waiting_long=report.waiting_long,
-    )
-
-
-def report_of_count(service: str, count: ServiceCount) -> ServiceReport:
-    """Return the report of the counts of a service."""
-    return ServiceReport(
-        service=service,
-        requests=count.requests,
-        retries=count.retries,
-        waiting=count.waiting,
-        waiting_long=count.waiting_long,
-    )
--- a/src/endivelug/forwarding/wait_reasons.py
+++ b/src/endivelug/forwarding/wait_reasons.py
@@ -28,8 +28,6 @@
         This VM uses its share of the connections to the instance.
     NO_SLOT, NO_MEMORY : str
         All slots of the instance are taken, or the call does not fit into its memory.
-    NO_SHARE : str
-        The free slots of the instance are left to requests that wait at other VMs.
     BACKLOG : str
         The instance has too much to prefill already.
     QUEUED : str
@@ -48,7 +46,6 @@
     NO_CONNECTION = "no connection left"
     NO_SLOT = "no free slot"
     NO_MEMORY = "not enough memory"
-    NO_SHARE = "slots left to other VMs"
     BACKLOG = "too much to prefill"
     QUEUED = "other requests go first"
     PREFILLING = "another one prefills the prefix"
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -1,4 +1,4 @@
-from endivelug.forwarding.neighbour_sums import ServiceCount
+from endivelug.forwarding.neighbour_sums import RetryCount
 from endivelug.forwarding.retry_budget import SharedRetryBudget
 
 WINDOW_S = 10.0
@@ -76,7 +76,7 @@
 # Guards against counting the retries of a peer that has been removed.
 def test_a_removed_peer_no_longer_counts():
     budget = SharedRetryBudget(ratio=0.0, slack=10.0, window_s=WINDOW_S, vms=1)
-    report_counts(budget, "vm1", ServiceCount(retries=10))
+    report_counts(budget, "vm1", RetryCount(retries=10))
     assert not budget.try_acquire("s", now=0.0)
     budget.forget("vm1")
     assert budget.try_acquire("s", now=0.0)
