--- a/measurements/crashes.py
+++ b/measurements/crashes.py
@@ -3,14 +3,18 @@
 In simulated time, requests come at random routers. One segment crashes each engine that
 begins to answer it. Baselines are routers that block nothing, and routers that judge by
 the crashes of their own requests alone. Engines also crash for other reasons while they
-run sound requests. The last part times the decision with a full table of suspects.
+run sound requests. The last part times the decision with a full table of suspects, and
+measures the size of the table and of the messages.
 """
 
 import random
 import time
+import tracemalloc
 from collections.abc import Iterator
 from typing import Any
 
+from endivelug import codec
+from endivelug.forwarding.crash_exchange import CrashExchange
 from endivelug.forwarding.crash_suspects import (
     MAX_SUSPECTS,
     CrashedRun,
@@ -155,10 +159,34 @@
                     self.add(at + NEWS_S, kind, (other, *detail))
 
 
-def _full_table(rng: random.Random) -> CrashSuspects:
+class _Link:
+    """Link to a new neighbour that keeps the size of the last message."""
+
+    def __init__(self) -> None:
+        self.sent_bytes = 0
+
+    def send(self, message: Any) -> None:
+        self.sent_bytes = len(codec.encode(message))
+
+
+def _greeting_bytes(suspects: CrashSuspects) -> int:
+    """Return the size of the message with all evidence."""
+    exchange = CrashExchange(
+        suspects=suspects,
+        links={},
+        on_crash=lambda name, started_ms: None,
+        clock=lambda: 5.0,
+        log=lambda event, **fields: None,
+    )
+    link: Any = _Link()
+    exchange.greet(link)
+    return link.sent_bytes
+
+
+def _make_table(rng: random.Random, *, size: int) -> CrashSuspects:
     suspects = CrashSuspects(vm="vm1")
     number = 0
-    while len(suspects.suspects) < MAX_SUSPECTS:
+    while len(suspects.suspects) < size:
         number += 1
         segments = tuple(f"s{rng.getrandbits(40):x}" for _ in range(16))
         run = CrashedRun(
@@ -186,13 +214,22 @@
             "sound_refused_rate": round(fleet.sound_refused / fleet.sound, 5),
         }
     rng = random.Random(seed)
-    suspects = _full_table(rng)
+    tracemalloc.start()
+    suspects = _make_table(rng, size=MAX_SUSPECTS)
+    state_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
     names = [f"s{rng.getrandbits(40):x}" for _ in range(DECISIONS)]
     started = time.perf_counter()
     for name in names:
         suspects.block_of(name, [name, "guide"], now=5.0)
     decision_us = 1e6 * (time.perf_counter() - started) / DECISIONS
-    yield {"decision_us": round(decision_us, 2), "suspects": len(suspects.suspects)}
+    yield {
+        "suspects": len(suspects.suspects),
+        "decision_us": round(decision_us, 2),
+        "state_bytes": state_bytes,
+        "news_bytes": _greeting_bytes(_make_table(rng, size=1)),
+        "greeting_bytes": _greeting_bytes(suspects),
+    }
     shared = fleets["shared"]
     yield {
         "summary": True,
