Send the test of a suspect to one engine only

Cause: a call that tests a suspect was let through for its whole course, so it was sent once more after its crash.

Change: the permission ends with the attempt. The new test failed before: the request crashed a second engine.

--- a/src/endivelug/forwarding/crash_watch.py
+++ b/src/endivelug/forwarding/crash_watch.py
@@ -86,6 +86,8 @@
         self, call: Call, placement: Placement, outcome: AttemptOutcome
     ) -> None:
         """Record an answer, or check whether the engine crashed before it came."""
+        # A test has one attempt: after a crash, the call is as suspect as any other.
+        call.tests_suspect = False
         match outcome:
             case Delivered():
                 self._record_answer(call)
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -136,6 +136,26 @@
     run_scenario(scenario, engines=1)
 
 
+# Guards against a test of a suspect that crashes a second engine, because its request
+# is sent once more like any other.
+def test_a_failed_test_of_a_suspect_is_not_sent_once_more():
+    async def scenario(system):
+        crashed = install(system, "dead")
+        now = system.node.clock()
+        for number in range(3):
+            run = make_run(f"x{number}", f"r{number}", "dead", at=now - 23.0 + number)
+            system.node.suspects.record_crash(run, now=now)
+        response = await system.request(headers=prompt("q1", "a1", "dead"))
+        assert response.status == 502
+        assert crashed == ["q1"]
+        assert system.log.events().count("suspect-tested") == 1
+        response = await system.request(headers=prompt("q2", "a2", "dead"))
+        assert response.status == 503
+        assert crashed == ["q1"]
+
+    run_scenario(scenario, engines=4)
+
+
 # Guards against suspecting short streams, which are often at their only event: where
 # engines crash for other reasons, many of them break off there.
 def test_a_stream_with_an_event_is_weak_evidence():
