Bound the segments of a prompt in the news of a crash

Callers saw nothing yet: a prompt may have thousands of segments, all of which went into the news of its crash and over every link of every VM.

Change: a run that ended in a crash is told with its last 32 shared segments, as many as each VM keeps; its own digest blocks a request whose other segments are the cause. The new test failed before with 201.

--- a/src/endivelug/forwarding/crash_watch.py
+++ b/src/endivelug/forwarding/crash_watch.py
@@ -8,7 +8,12 @@
 from endivelug.forwarding.cluster_view import LogLine
 from endivelug.forwarding.connection_pool import ConnectionPool
 from endivelug.forwarding.crash_exchange import CrashExchange
-from endivelug.forwarding.crash_suspects import Block, CrashedRun, CrashSuspects
+from endivelug.forwarding.crash_suspects import (
+    MAX_SEGMENTS_PER_RUN,
+    Block,
+    CrashedRun,
+    CrashSuspects,
+)
 from endivelug.forwarding.instances import Instance
 from endivelug.forwarding.placement import Placement
 from endivelug.forwarding.refused_callers import request_digest
@@ -117,7 +122,7 @@
             started_ms=instance.started_ms,
             vm=self.vm,
             request=digest,
-            segments=tuple(call.shared_segments),
+            segments=tuple(call.shared_segments[-MAX_SEGMENTS_PER_RUN:]),
             begun=call.begun and call.events == 0,
             at=self.clock(),
         )
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from endivelug.forwarding.crash_suspects import MAX_SEGMENTS_PER_RUN
 from test_crash_suspects import make_run
 from test_forwarding_path import (
     metrics_port,
@@ -176,3 +177,16 @@
         assert not run.begun
 
     run_scenario(scenario, engines=1)
+
+
+# Guards against messages to all VMs that grow with the segments of a prompt.
+def test_the_evidence_of_a_prompt_with_many_segments_is_bounded():
+    async def scenario(system):
+        install(system, "dead")
+        shared = [f"s{number}" for number in range(200)]
+        await system.request(headers=prompt("q1", *shared, "dead"))
+        (run, *_) = system.node.suspects.runs(now=system.node.clock())
+        assert len(run.segments) == MAX_SEGMENTS_PER_RUN
+        assert "dead" in run.segments
+
+    run_scenario(scenario, engines=2)
