Look a call up only while any prompt is suspected

Each request in progress was digested five times a second to look whether it is blocked, also while nothing is suspected. No decision changes.

--- a/src/endivelug/forwarding/crash_watch.py
+++ b/src/endivelug/forwarding/crash_watch.py
@@ -76,8 +76,10 @@
 
     def is_blocked(self, call: Call) -> bool:
         """Return whether a call that was sent would not be sent now."""
-        digest = request_digest(call)
-        if digest is None or call.tests_suspect or call.events > BEGINNING_EVENTS:
+        if call.tests_suspect or call.events > BEGINNING_EVENTS:
+            return False
+        digest = self._digest(call)
+        if digest is None:
             return False
         segments = call.shared_segments
         return self.suspects.block_of(digest, segments, now=self.clock()) is not None
