--- a/src/endivelug/forwarding/peer_messages.py
+++ b/src/endivelug/forwarding/peer_messages.py
@@ -265,6 +265,8 @@
     cleared: list[ClearedSuspect]
 
 
+PeerMessage = RouterReport | FullReportRequest | RowsRequest | RowsReply | CrashNews
+
 # Types of the list items in these messages, for the codec.
 RECORDS = (
     LoadReport,
--- a/src/endivelug/messages.py
+++ b/src/endivelug/messages.py
@@ -20,13 +20,7 @@
     ShareLoan,
     ShareRequest,
 )
-from endivelug.forwarding.peer_messages import (
-    CrashNews,
-    FullReportRequest,
-    RouterReport,
-    RowsReply,
-    RowsRequest,
-)
+from endivelug.forwarding.peer_messages import PeerMessage
 
 PROTOCOL_VERSION = 3
 
@@ -41,12 +35,10 @@
     "ConfigRequest",
     "ConfigSnapshot",
     "Contact",
-    "CrashNews",
     "DataCentreStatusRequest",
     "EngineView",
     "Failure",
     "Finish",
-    "FullReportRequest",
     "Heartbeat",
     "Hello",
     "ListedUpstream",
@@ -56,9 +48,6 @@
     "LookupReply",
     "Message",
     "Proof",
-    "RouterReport",
-    "RowsReply",
-    "RowsRequest",
     "ShareDemand",
     "ShareGrant",
     "ShareLoan",
@@ -395,9 +384,5 @@
     | UpstreamReport
     | ListedUpstreams
     | DataCentreStatusRequest
-    | RouterReport
-    | FullReportRequest
-    | RowsRequest
-    | RowsReply
-    | CrashNews
+    | PeerMessage
 )
