--- a/tests/test_broken_off_answers.py
+++ b/tests/test_broken_off_answers.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from test_forwarding_path import PROMPT, metrics_port, run_scenario
+from router_process import PROMPT, metrics_port, run_scenario
 
 __all__ = ["metrics_port"]
 
--- a/tests/test_caller_presence.py
+++ b/tests/test_caller_presence.py
@@ -9,7 +9,7 @@
 from tornado.web import Application
 
 from endivelug.caller_handler import CallerHandler, watch_callers
-from test_forwarding_path import wait_until
+from router_process import wait_until
 
 REQUEST = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{}"
 
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -3,13 +3,13 @@
 import asyncio
 
 from endivelug.forwarding.crash_suspects import MAX_SEGMENTS_PER_RUN
-from test_crash_suspects import make_run
-from test_forwarding_path import (
+from router_process import (
     metrics_port,
     run_scenario,
     stream_three_events,
     wait_until,
 )
+from test_crash_suspects import make_run
 
 __all__ = ["metrics_port"]
 
--- a/tests/test_departed_callers.py
+++ b/tests/test_departed_callers.py
@@ -8,7 +8,7 @@
 
 from endivelug.exceptions import CallerLeft
 from endivelug.forwarding.front_server import Writer
-from test_forwarding_path import KEY, PROMPT, metrics_port, run_scenario, wait_until
+from router_process import KEY, PROMPT, metrics_port, run_scenario, wait_until
 
 __all__ = ["metrics_port"]
 
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -10,7 +10,7 @@
 from endivelug.forwarding.event_stream import MAX_EVENT_BYTES
 from endivelug.forwarding.upstream_connection import RequestHead
 from platform_standins import running_upstream
-from test_forwarding_path import (
+from router_process import (
     PROMPT,
     metrics_port,
     run_scenario,
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -21,7 +21,7 @@
     load_tables,
     stored_row,
 )
-from test_forwarding_path import wait_until
+from router_process import wait_until
 
 
 def make_peers(vm, secret=b"s", data_centre="dc1"):
--- a/tests/test_relayed_reports.py
+++ b/tests/test_relayed_reports.py
@@ -15,7 +15,7 @@
 from endivelug.forwarding.prompt_cache import PromptSegment
 from endivelug.forwarding.row_store import StoredRow
 from forwarding_builders import configuration_document, load_tables, stored_row
-from test_forwarding_path import wait_until
+from router_process import wait_until
 from test_peers import make_peers
 
 
--- a/tests/test_stream_recovery.py
+++ b/tests/test_stream_recovery.py
@@ -5,7 +5,7 @@
 import pytest
 
 from forwarding_builders import configuration_document
-from test_forwarding_path import PROMPT, metrics_port, run_scenario, wait_until
+from router_process import PROMPT, metrics_port, run_scenario, wait_until
 
 __all__ = ["metrics_port"]
 
