Count a call once whose caller leaves while its refusal is written

Operators would have seen: a call logged as `refused` and again as `caller-left`, counted in both outcomes, and the gauge of calls in progress falling below the truth.

Change: the recorder marks the call, and a caller that leaves after its end is not recorded again. The new test failed before. No decision changes.

--- a/src/endivelug/forwarding/call_recorder.py
+++ b/src/endivelug/forwarding/call_recorder.py
@@ -85,7 +85,7 @@
 
     def record_delivered(self, call: Call, instance: str) -> None:
         """Log and count a call whose caller has the whole response."""
-        self.metrics.record_end(call, "delivered", now=self.clock())
+        self._record_end(call, "delivered")
         self.log(
             "delivered",
             **_fields(call),
@@ -101,7 +101,7 @@
         self, call: Call, outcome: str, reason: str, **fields: object
     ) -> None:
         """Log and count a call that is refused or fails."""
-        self.metrics.record_end(call, outcome, now=self.clock())
+        self._record_end(call, outcome)
         self.log(
             "refused" if outcome == "not-run" else "ended",
             **_fields(call),
@@ -115,8 +115,10 @@
         )
 
     def record_left(self, call: Call) -> None:
-        """Log and count a call whose caller closed the connection."""
-        self.metrics.record_end(call, "left", now=self.clock())
+        """Log and count a call whose caller closed the connection before its end."""
+        if call.recorded_end:
+            return
+        self._record_end(call, "left")
         self.log(
             "caller-left",
             **_fields(call),
@@ -126,6 +128,10 @@
             after_s=self._age_s(call),
         )
 
+    def _record_end(self, call: Call, outcome: str) -> None:
+        call.recorded_end = True
+        self.metrics.record_end(call, outcome, now=self.clock())
+
     def _age_s(self, call: Call) -> float:
         return round(self.clock() - call.request.received_at, 3)
 
--- a/src/endivelug/forwarding/calls.py
+++ b/src/endivelug/forwarding/calls.py
@@ -43,6 +43,8 @@
         Whether the call is sent to find out if its prompt still crashes engines.
     recorded_answer : bool
         Whether the prompt is recorded as one that was answered.
+    recorded_end : bool
+        Whether the end of the call is logged and counted.
     first_event_at, last_event_at : float or None
         Times of the first and the last complete event of the stream.
     longest_pause_s : float
@@ -67,6 +69,7 @@
     begun: bool = False
     tests_suspect: bool = False
     recorded_answer: bool = False
+    recorded_end: bool = False
     first_event_at: float | None = None
     last_event_at: float | None = None
     longest_pause_s: float = 0.0
--- a/tests/test_departed_callers.py
+++ b/tests/test_departed_callers.py
@@ -95,3 +95,23 @@
         assert writer.disconnected
 
     asyncio.run(run())
+
+
+# Guards against counting a call twice, as refused and as left, when its caller leaves
+# while the refusal is written.
+def test_a_caller_that_leaves_during_a_refusal_is_counted_once(monkeypatch):
+    async def fail(*args):
+        raise CallerLeft("the connection is closed; drop the request")
+
+    async def scenario(system):
+        system.node.view.registry.entries.clear()
+        system.node.view.registry._invalidate_caches()
+        monkeypatch.setattr(Writer, "start", fail)
+        with connect(system) as connection:
+            connection.sendall(request_bytes("q1"))
+            await wait_until(lambda: "refused" in system.log.events())
+        await asyncio.sleep(0.1)
+        assert "caller-left" not in system.log.events()
+        assert system.node.metrics.in_progress == 0
+
+    run_scenario(scenario)
