--- a/review/harness.py
+++ b/review/harness.py
@@ -283,6 +283,57 @@
         return 200, self._document([])
 
 
+class Proxy:
+    """A proxy whose open connections can go silent for good, while new ones work."""
+
+    def __init__(self, target: str) -> None:
+        self.target = target
+        self.address = ""
+        self.round = 0
+        self.writers: set[asyncio.StreamWriter] = set()
+        self.server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = _address_of(self.server)
+
+    def silence(self) -> None:
+        """Pass on nothing more over the connections that are open now."""
+        self.round += 1
+
+    def close(self) -> None:
+        """Stop listening and close all connections."""
+        _close_server(self.server, self.writers)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        host, _, port = self.target.rpartition(":")
+        far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        pair = {writer, far_writer}
+        self.writers |= pair
+        opened_in = self.round
+        with contextlib.suppress(ConnectionError):
+            await asyncio.gather(
+                self._copy(reader, far_writer, opened_in),
+                self._copy(far_reader, writer, opened_in),
+            )
+        self.writers -= pair
+        for end in pair:
+            end.close()
+
+    async def _copy(
+        self, source: asyncio.StreamReader, sink: asyncio.StreamWriter, opened_in: int
+    ) -> None:
+        while data := await source.read(65536):
+            if self.round == opened_in:
+                sink.write(data)
+                await sink.drain()
+        if self.round == opened_in:
+            sink.close()
+
+
 def _key(row: dict[str, Any]) -> tuple[str, str, str]:
     return (row["table"], row.get("part", ""), row["key"])
 
@@ -437,7 +488,10 @@
 
     def answer_of(self, run: Run) -> bytes:
         """Return the answer to a request that was run."""
-        headers = {"X-Request-Id": run.request, "X-Response-Seal": f"seal.{run.request}"}
+        headers = {
+            "X-Request-Id": run.request,
+            "X-Response-Seal": f"seal.{run.request}",
+        }
         return response(200, headers, run.request.encode())
 
 
@@ -655,9 +709,7 @@
             route("reserve", "/reserve/", "unsafe", "desk"),
             route("look", "/look/", "safe", "desk"),
         ],
-        "services": [
-            {"name": "desk", "healthPath": "/healthz", "maxConnections": 96}
-        ],
+        "services": [{"name": "desk", "healthPath": "/healthz", "maxConnections": 96}],
         "limits": {
             "maxHeaderBytes": 16384,
             "maxBodyBytes": 4194304,
@@ -681,6 +733,7 @@
         self.store = Store(record)
         self.routers: list[Router] = []
         self.upstreams: list[Upstream] = []
+        self.proxies: list[Proxy] = []
         self.tasks: list[asyncio.Task[Any]] = []
         self.counter = 0
 
@@ -704,11 +757,14 @@
     async def start_routers(self, zones: list[str]) -> None:
         """Start one router in each of the zones, and wait until all are ready."""
         for number, zone in enumerate(zones):
+            proxy = Proxy(self.store.address)
+            await proxy.start()
+            self.proxies.append(proxy)
             router = Router(
                 number=number,
                 zone=zone,
                 zones=sorted(set(zones)),
-                store=self.store.address,
+                store=proxy.address,
                 folder=self.folder,
             )
             self.routers.append(router)
@@ -736,6 +792,8 @@
         await asyncio.gather(*self.tasks, return_exceptions=True)
         for upstream in self.upstreams:
             upstream.exit()
+        for proxy in self.proxies:
+            proxy.close()
         self.store.close()
         await asyncio.sleep(0.05)
 
