Parse what one read of an upstream brings in several turns

Cause: all parts of one read (256 KB, 43,000 chunks) were parsed in one turn of the event loop, and the reader took them without giving up its turn either. Limits counted bytes of the body, not parts; interim answers and answers to other requests had none. The splitter of events searched its buffer from the start for each event. A trial with the timer of the deadline alone would not help: it belongs to the same loop. Ruled out: reading in smaller pieces only, since the next read follows at once and the loop stays busy; a limit on the number of parts, since a slow but sound stream may arrive byte by byte. Change: response_parser parses in steps; upstream_connection pauses after each in proportion to its parts and reads nothing meanwhile; other answers are bounded; streams with many events in one read pause too; an aborted connection parses nothing more.

--- a/src/endivelug/forwarding/attempt.py
+++ b/src/endivelug/forwarding/attempt.py
@@ -48,6 +48,10 @@
 # Time limit of the connection that tells whether an upstream still lives.
 END_CHECK_TIMEOUT_S = 0.25
 MAX_PRIORITY = 9
+# A stream that brings more events at once pauses for each of them, so that tiny events
+# without end leave most of the processor to other requests.
+MAX_EVENTS_A_TURN = 64
+EVENT_PAUSE_S = 0.0001
 
 
 class AttemptRunner:
@@ -315,6 +319,8 @@
                         await self._write_response(call, writer, head, b"".join(events))
                         # After the write, which waits for a slow caller.
                         progress_at = self.clock()
+                    if len(events) > MAX_EVENTS_A_TURN:
+                        await asyncio.sleep(len(events) * EVENT_PAUSE_S)
                 case BodyEnd():
                     if splitter.partial and _is_event_stream(call, head):
                         raise UpstreamBroken("the stream ended inside an event")
--- a/src/endivelug/forwarding/connection_pool.py
+++ b/src/endivelug/forwarding/connection_pool.py
@@ -5,11 +5,14 @@
 from dataclasses import dataclass, field
 
 from endivelug.exceptions import UpstreamBroken, UpstreamUnreachable
-from endivelug.forwarding.upstream_connection import (
+from endivelug.forwarding.response_parser import (
+    MAX_RESPONSE_BYTES,
     BodyData,
     BodyEnd,
-    RequestHead,
     ResponseHead,
+)
+from endivelug.forwarding.upstream_connection import (
+    RequestHead,
     UpstreamConnection,
     connect,
 )
@@ -19,9 +22,6 @@
 # A connection is not reused within this time before the upstream's idle timeout.
 IDLE_MARGIN_S = 0.5
 MAX_IDLE_PER_ADDRESS = 64
-# Longest body of a response that is kept in memory as a whole. A faulty upstream may
-# send bytes without end.
-MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/endivelug/forwarding/event_stream.py
+++ b/src/endivelug/forwarding/event_stream.py
@@ -4,9 +4,12 @@
 could contain a partial event of the first one.
 """
 
+import re
 from dataclasses import dataclass, field
 
 MAX_EVENT_BYTES = 1024 * 1024
+_EVENT_END = re.compile(rb"\n\n|\r\n\r\n")
+_MAX_END_BYTES = 4
 
 
 @dataclass(slots=True, kw_only=True)
@@ -35,13 +38,17 @@
 
     def feed(self, data: bytes) -> list[bytes]:
         """Add received bytes; return the events that they complete."""
+        # The partial event holds no end, but may hold the start of one.
+        search_from = max(0, len(self.partial) - _MAX_END_BYTES + 1)
         self.partial += data
         events = []
-        while (end := _event_end(self.partial)) is not None:
-            event = bytes(self.partial[:end])
-            del self.partial[:end]
+        begin = 0
+        for match in _EVENT_END.finditer(self.partial, search_from):
+            event = bytes(self.partial[begin : match.end()])
+            begin = match.end()
             self.last_id = _event_id(event) or self.last_id
             events.append(event)
+        del self.partial[:begin]
         self.overflow = len(self.partial) > MAX_EVENT_BYTES
         return events
 
@@ -50,16 +57,6 @@
         self.partial.clear()
 
 
-def _event_end(data: bytearray) -> int | None:
-    lf = data.find(b"\n\n")
-    crlf = data.find(b"\r\n\r\n")
-    if lf < 0 and crlf < 0:
-        return None
-    if crlf < 0 or (0 <= lf < crlf):
-        return lf + 2
-    return crlf + 4
-
-
 def _event_id(event: bytes) -> str | None:
     for line in event.splitlines():
         if line.startswith(b"id:"):
--- a/src/endivelug/forwarding/upstream_connection.py
+++ b/src/endivelug/forwarding/upstream_connection.py
@@ -1,8 +1,8 @@
 """A persistent HTTP/1.1 client connection to an upstream.
 
-Responses are parsed by h11. Bytes that arrive without a pending request close the
-connection, and a response to another request is skipped, so that neither reaches a
-caller.
+Bytes that arrive without a pending request close the connection, and a response to
+another request is skipped, so that neither reaches a caller. What one read brings is
+parsed in several turns of the event loop, so that it can't keep other requests waiting.
 """
 
 import asyncio
@@ -19,14 +19,36 @@
     UpstreamNotListening,
     UpstreamUnreachable,
 )
+from endivelug.forwarding.response_parser import (
+    BodyData,
+    BodyEnd,
+    Headers,
+    ResponseEvent,
+    ResponseHead,
+    ResponseInvalid,
+    ResponseParser,
+    new_parser,
+)
 
 # Reading from the socket pauses when more received body bytes than this are unread.
 MAX_BUFFERED_BYTES = 256 * 1024
-MAX_HEAD_BYTES = 64 * 1024
+# Pause after a step of parsing, for each part that it found. It leaves most of the
+# processor to other requests while an upstream sends tiny parts without end.
+PART_PAUSE_S = 0.0001
+_LOST = "the connection was lost before the answer was complete"
 # The kernel closes a connection whose peer acknowledges nothing for this long.
 USER_TIMEOUT_MS = 4000
 
-Headers = list[tuple[str, str]]
+__all__ = [
+    "BodyData",
+    "BodyEnd",
+    "Headers",
+    "RequestHead",
+    "ResponseEvent",
+    "ResponseHead",
+    "UpstreamConnection",
+    "connect",
+]
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -38,44 +60,6 @@
     headers: Headers
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class ResponseHead:
-    """Status line and headers of a response; header names are in lower case."""
-
-    status: int
-    reason: str
-    headers: Headers
-
-    def get(self, name: str) -> str | None:
-        """Return the first value of a header, or None."""
-        for key, value in self.headers:
-            if key == name:
-                return value
-        return None
-
-    @property
-    def ends_with_connection(self) -> bool:
-        """Whether the body has neither a length nor chunks."""
-        return (
-            self.get("content-length") is None and self.get("transfer-encoding") is None
-        )
-
-
-@dataclass(slots=True, kw_only=True, frozen=True)
-class BodyData:
-    """A chunk of the response body."""
-
-    data: bytes
-
-
-@dataclass(slots=True, kw_only=True, frozen=True)
-class BodyEnd:
-    """The end of a complete response."""
-
-
-ResponseEvent = ResponseHead | BodyData | BodyEnd
-
-
 class UpstreamConnection(asyncio.Protocol):
     """A connection that carries one request at a time; ``connect`` creates it.
 
@@ -94,10 +78,9 @@
         self.closed = False
         self.on_closed: Callable[[], None] | None = None
         self._transport: asyncio.Transport
-        self._parser: h11.Connection | None = None
-        self._accepts: Callable[[ResponseHead], bool] = lambda head: True
-        self._skipping = False
-        self._method = "GET"
+        self._parser: ResponseParser | None = None
+        self._next_step: asyncio.Handle | None = None
+        self._lost = False
         self._events: deque[ResponseEvent] = deque()
         self._buffered_bytes = 0
         self._paused = False
@@ -122,13 +105,15 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Complete or fail the response in progress."""
-        self.closed = True
-        parser = self._parser
-        if parser is not None and self._failure is None:
+        aborted = self.closed
+        self.closed = self._lost = True
+        if self._parser is not None and aborted:
+            self._fail(_LOST)
+        elif self._parser is not None:
             if exc is None:
-                self._receive(b"")
-            if self._parser is not None:
-                self._fail("the connection was lost before the answer was complete")
+                self._parser.receive_end()
+            if self._next_step is None:
+                self._parse()
         if self.on_closed is not None:
             self.on_closed()
 
@@ -143,7 +128,9 @@
             # No request is pending, so the bytes belong to none.
             self.abort()
             return
-        self._receive(data)
+        self._parser.receive(data)
+        if self._next_step is None:
+            self._parse()
 
     def send(
         self,
@@ -166,20 +153,19 @@
         """
         if self.closed or self._transport.is_closing():
             raise UpstreamBroken("the connection is closed; use another one")
-        self._accepts = accepts
-        self._method = head.method
+        encoder = new_parser()
+        data = encoder.send(
+            h11.Request(method=head.method, target=head.target, headers=head.headers)
+        )
+        assert data is not None
+        tail = encoder.send(h11.Data(data=body)) if body else b""
+        end = encoder.send(h11.EndOfMessage())
         self._events.clear()
         self._buffered_bytes = 0
         self._failure = None
-        self._skipping = False
-        parser = self._new_parser()
-        data = parser.send(
-            h11.Request(method=head.method, target=head.target, headers=head.headers)
+        self._parser = ResponseParser(
+            parser=encoder, method=head.method, accepts=accepts
         )
-        assert data is not None
-        tail = parser.send(h11.Data(data=body)) if body else b""
-        end = parser.send(h11.EndOfMessage())
-        self._parser = parser
         self._transport.write(data + (tail or b"") + (end or b""))
 
     async def next_event(self) -> ResponseEvent:
@@ -201,10 +187,7 @@
         event = self._events.popleft()
         if isinstance(event, BodyData):
             self._buffered_bytes -= len(event.data)
-            if self._paused and self._buffered_bytes < MAX_BUFFERED_BYTES // 2:
-                self._paused = False
-                if not self.closed:
-                    self._transport.resume_reading()
+            self._update_reading()
         return event
 
     @property
@@ -223,93 +206,58 @@
         self.closed = True
         self._transport.abort()
 
-    def _new_parser(self) -> h11.Connection:
-        return h11.Connection(
-            our_role=h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
-        )
-
-    def _receive(self, data: bytes) -> None:
-        assert self._parser is not None
-        try:
-            self._parser.receive_data(data)
-            self._parse()
-        except h11.RemoteProtocolError as error:
-            self._fail(f"the answer is not valid HTTP ({error})")
-
     def _parse(self) -> None:
-        while self._parser is not None:
-            event = self._parser.next_event()
-            if isinstance(event, h11.Response):
-                self._on_head(event)
-            elif isinstance(event, h11.Data):
-                self._on_data(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
-                self._on_end()
-            elif isinstance(event, h11.InformationalResponse):
-                continue
-            else:
-                return
-
-    def _on_head(self, event: h11.Response) -> None:
-        head = ResponseHead(
-            status=event.status_code,
-            reason=bytes(event.reason).decode("latin-1"),
-            headers=[
-                (bytes(name).decode("latin-1"), bytes(value).decode("latin-1"))
-                for name, value in event.headers
-            ],
-        )
-        self._skipping = not self._accepts(head)
-        if not self._skipping:
-            self._add_event(head)
-
-    def _on_data(self, data: bytes) -> None:
-        if self._skipping or not data:
-            return
-        self._buffered_bytes += len(data)
-        self._add_event(BodyData(data=data))
-        if self._buffered_bytes > MAX_BUFFERED_BYTES and not self._paused:
-            self._paused = True
-            self._transport.pause_reading()
-
-    def _on_end(self) -> None:
-        assert self._parser is not None
+        """Parse one step of what was received, and schedule the next one."""
+        self._next_step = None
         parser = self._parser
-        trailing, closed = parser.trailing_data
-        if self._skipping:
-            self._parse_next_response(trailing, closed)
+        if parser is None:
             return
-        self._keep_alive = (
-            parser.their_state is h11.DONE
-            and parser.our_state is h11.DONE
-            and not trailing
-        )
+        try:
+            events, parts = parser.step()
+        except ResponseInvalid as error:
+            self._fail(str(error))
+            return
+        for event in events:
+            self._add_event(event)
+        if parser.complete:
+            self._complete(parser)
+        elif parser.has_work:
+            loop = asyncio.get_running_loop()
+            self._next_step = loop.call_later(parts * PART_PAUSE_S, self._parse)
+        elif self._lost:
+            self._fail(_LOST)
+        self._update_reading()
+
+    def _complete(self, parser: ResponseParser) -> None:
+        self._keep_alive = parser.keep_alive
         self._parser = None
-        self._add_event(BodyEnd())
         if not self._keep_alive:
             # Any further bytes would belong to no request.
             self._transport.abort()
 
-    def _parse_next_response(self, trailing: bytes, closed: bool) -> None:
-        """Start to parse the response that follows a skipped one."""
-        self._skipping = False
-        parser = self._new_parser()
-        parser.send(
-            h11.Request(method=self._method, target="/", headers=[("host", "skipped")])
-        )
-        parser.send(h11.EndOfMessage())
-        self._parser = parser
-        if trailing:
-            parser.receive_data(trailing)
-        if closed:
-            parser.receive_data(b"")
+    def _update_reading(self) -> None:
+        """Read from the socket only while little is unparsed or unread."""
+        if self._lost or self._transport.is_closing():
+            return
+        limit = MAX_BUFFERED_BYTES // 2 if self._paused else MAX_BUFFERED_BYTES
+        pause = self._next_step is not None or self._buffered_bytes > limit
+        if pause and not self._paused:
+            self._transport.pause_reading()
+        elif self._paused and not pause:
+            self._transport.resume_reading()
+        self._paused = pause
 
     def _add_event(self, event: ResponseEvent) -> None:
+        if isinstance(event, BodyData):
+            self._buffered_bytes += len(event.data)
         self._events.append(event)
         self._wake_reader()
 
     def _fail(self, reason: str) -> None:
         self._parser = None
+        if self._next_step is not None:
+            self._next_step.cancel()
+            self._next_step = None
         self._failure = UpstreamBroken(f"{reason}; use another connection")
         if not self.closed:
             self.abort()
