Show that bodies of callers in tiny chunks keep nobody waiting

Tornado gives up its turn between chunks itself, so nothing is changed; a pause of our own was tried and dropped, since both tests pass without it.

--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -379,3 +379,44 @@
     assert [events for events in found if events] == [[event], [event]]
     assert splitter.last_id == "7"
     assert not splitter.partial
+
+
+# Guards against reading a body of tiny chunks in one turn of the event loop: one caller
+# that sends such a body keeps all others waiting.
+def test_a_body_in_tiny_chunks_leaves_turns_to_other_requests():
+    async def scenario(system):
+        host, port = system.node.settings.front.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            b"POST /look/it HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: q1\r\n"
+            b"X-Credential: k1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+        writer.write(ONE_BYTE_CHUNK * 200_000)
+        for number in range(10):
+            sound = {"X-Request-Id": f"s{number}", "X-Deadline-Ms": "1000"}
+            started = time.monotonic()
+            response = await system.request("/look/it", headers=sound)
+            assert response.status == 200
+            assert time.monotonic() - started < 1.5
+            await asyncio.sleep(0.05)
+        writer.transport.abort()
+
+    run_scenario(scenario)
+
+
+# Guards against losing a part of a body that arrives in many chunks.
+def test_a_body_in_many_chunks_is_passed_on_whole():
+    async def scenario(system):
+        host, port = system.node.settings.front.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            b"POST /look/it HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: q1\r\n"
+            b"X-Credential: k1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+        writer.write(ONE_BYTE_CHUNK * 1000 + b"0\r\n\r\n")
+        assert b" 200 " in await reader.readline()
+        writer.close()
+        (attempt,) = system.attempts()
+        assert attempt.body == b"x" * 1000
+
+    run_scenario(scenario)
