Apply the rows after one that cannot be decoded or applied

Cause: json.loads raises RecursionError for deep nesting, which no decoder expects; it left the cluster view, so that the row was met again at each read and the rows after it were never applied, and it ended the task group that follows both tables. Ruled out: the feed itself, which goes on delivering; rows from peers, which do not help as no router completes its first read. Change: one reader of JSON documents for rows, the store's answers, engines' reports and settings; the cluster view takes a row that fails for any reason as unreadable; each table is followed on its own; rows without key or version in an answer are left out, and an unreadable answer to a read is an outage (it ended the jobs for the lease and the VM list).

--- a/src/endivelug/forwarding/cluster_view.py
+++ b/src/endivelug/forwarding/cluster_view.py
@@ -32,6 +32,9 @@
 
 LogLine = Callable[..., None]
 
+# Longest part of the reason, in characters, for which a row is not applied.
+MAX_LOGGED_REASON = 200
+
 
 @dataclass(slots=True, kw_only=True)
 class CachedRow:
@@ -145,19 +148,39 @@
 
     def _store_row(self, row: StoredRow, cached: CachedRow | None, source: str) -> bool:
         """Store a newer row; return whether it is more than a heartbeat."""
-        record = self.records.decode(row)
+        record = self._decode(row)
         changed = row.changed or row.version
         if cached is not None and cached.record == record:
             changed = cached.changed
         self.rows[row.table, row.key] = CachedRow(
             row=row, record=record, changed=changed
         )
-        self._apply(record, row, source)
+        try:
+            self._apply(record, row, source)
+        except Exception as error:
+            # One row must not keep the rows after it from being applied.
+            self._log_unreadable(row, f"it cannot be applied: {error!r}")
         if cached is not None and cached.changed == changed:
             return False
         self.advance_version(row.table, changed)
         return True
 
+    def _decode(self, row: StoredRow) -> Record:
+        """Decode a row of another writer, whatever it holds."""
+        try:
+            return self.records.decode(row)
+        except Exception as error:
+            return UnreadableRecord(reason=repr(error))
+
+    def _log_unreadable(self, row: StoredRow, reason: str) -> None:
+        self.log(
+            "row-unreadable",
+            table=row.table,
+            key=row.key,
+            row_version=row.version,
+            reason=reason[:MAX_LOGGED_REASON],
+        )
+
     def expire(self) -> None:
         """Remove the instances that did not register again after an outage."""
         for instance in self.registry.expire(now=self.clock()):
@@ -262,13 +285,7 @@
                 if removed is not None:
                     self._remove_instance(removed, "removed from the registry")
             case UnreadableRecord(reason=reason):
-                self.log(
-                    "row-unreadable",
-                    table=row.table,
-                    key=row.key,
-                    row_version=row.version,
-                    reason=reason,
-                )
+                self._log_unreadable(row, reason)
             case OtherRecord():
                 pass
 
--- a/src/endivelug/forwarding/peer_rows.py
+++ b/src/endivelug/forwarding/peer_rows.py
@@ -88,6 +88,8 @@
 
     def _fetch_done(self, table: str, task: asyncio.Task[None]) -> None:
         self._fetching.discard(table)
+        if not task.cancelled() and task.exception() is not None:
+            self.log("job-failed", job="PeerRows.fetch", reason=repr(task.exception()))
 
     async def _fetch(self, link: Link, table: str) -> None:
         full_read = table not in self.view.loaded_tables
--- a/src/endivelug/forwarding/state_sync.py
+++ b/src/endivelug/forwarding/state_sync.py
@@ -98,6 +98,11 @@
                 self._feed_lost(table, error)
                 await asyncio.sleep(delay_s * self.rng.uniform(0.5, 1.0))
                 delay_s = min(RETRY_MAX_S, delay_s * 2)
+            except Exception as error:
+                # The feeds of the other tables go on.
+                self.log("feed-failed", table=table, reason=repr(error))
+                after = None
+                await asyncio.sleep(RETRY_MAX_S)
 
     async def _expire(self) -> None:
         while True:
--- a/src/endivelug/platform/engine_calls.py
+++ b/src/endivelug/platform/engine_calls.py
@@ -14,6 +14,7 @@
     OrderReply,
     WeightsOrder,
 )
+from endivelug.platform.documents import DocumentUnreadable, read_object
 
 REPORT_TIMEOUT_S = 0.7
 
@@ -122,9 +123,6 @@
 
 def _document(response: BufferedResponse) -> dict[str, Any]:
     try:
-        document = json.loads(response.body)
-    except ValueError as error:
-        raise UpstreamBroken("the engine's response is not JSON; retry") from error
-    if not isinstance(document, dict):
-        raise UpstreamBroken("the engine's response is not a JSON object; retry")
-    return document
+        return read_object(response.body)
+    except DocumentUnreadable as error:
+        raise UpstreamBroken(f"the engine's response is unusable: {error}") from error
--- a/src/endivelug/platform/records.py
+++ b/src/endivelug/platform/records.py
@@ -1,6 +1,5 @@
 """Decoders for rows of the operator and of upstreams."""
 
-import json
 import re
 from typing import Any
 
@@ -27,6 +26,7 @@
     WeightedService,
 )
 from endivelug.forwarding.row_store import StoredRow
+from endivelug.platform.documents import DocumentUnreadable, read_object
 
 OPERATOR_TABLE = "op"
 INSTANCE_TABLE = "servers"
@@ -128,12 +128,9 @@
 
 def _json_object(value: bytes) -> dict[str, Any]:
     try:
-        document = json.loads(value)
-    except ValueError as error:
-        raise RecordUnreadable(f"the row is not JSON: {error}") from error
-    if not isinstance(document, dict):
-        raise RecordUnreadable("the row is not a JSON object")
-    return document
+        return read_object(value)
+    except DocumentUnreadable as error:
+        raise RecordUnreadable(f"the row cannot be decoded: {error}") from error
 
 
 def _limits(document: dict[str, Any]) -> CallerLimits:
--- a/src/endivelug/platform/settings.py
+++ b/src/endivelug/platform/settings.py
@@ -1,11 +1,11 @@
 """Reader of the platform's settings file."""
 
-import json
 from pathlib import Path
 from typing import Any
 
 from endivelug.exceptions import SettingError, SettingsError
 from endivelug.forwarding.node_settings import NodeSettings
+from endivelug.platform.documents import DocumentUnreadable, read_object
 
 # Environment variable with the path of the settings file.
 PATH_VARIABLE = "ENDIVELUG_NODE_FILE"
@@ -71,13 +71,13 @@
         If values are missing or have the wrong type; it lists all of them.
     """
     try:
-        document = json.loads(Path(path).read_text())
-    except (OSError, ValueError) as error:
+        document = read_object(Path(path).read_bytes())
+    except (OSError, DocumentUnreadable) as error:
         unreadable = SettingError(
             section="top", key=path, value=None, remedy=f"write JSON ({error})"
         )
         raise SettingsError(path=path, errors=[unreadable]) from error
-    reader = _SettingsReader(document if isinstance(document, dict) else {})
+    reader = _SettingsReader(document)
     settings = _settings(reader)
     if reader.errors:
         raise SettingsError(path=path, errors=reader.errors)
--- a/src/endivelug/platform/store.py
+++ b/src/endivelug/platform/store.py
@@ -20,6 +20,7 @@
     WriteResult,
 )
 from endivelug.forwarding.upstream_connection import RequestHead
+from endivelug.platform.documents import DocumentUnreadable, read_object
 
 # Statuses that state that the store did not execute the call.
 NOT_EXECUTED = (403, 429, 503)
@@ -61,8 +62,9 @@
                 query["from"] = first
             if last:
                 query["to"] = last
-            document = await self._get("/rows-get", query, timeout_s=self.timeout_s)
-            page = _rows(document, table)
+            document, page = await self._get(
+                "/rows-get", query, timeout_s=self.timeout_s
+            )
             rows.extend(page)
             if version is None:
                 # The feed starts at the first page's version, so that it repeats the
@@ -80,8 +82,8 @@
             "waitMs": str(int(wait_s * 1000)),
         }
         timeout_s = wait_s + self.timeout_s
-        document = await self._get("/rows-feed", query, timeout_s=timeout_s)
-        return RowPage(rows=_rows(document, table), version=int(document["ver"]))
+        document, rows = await self._get("/rows-feed", query, timeout_s=timeout_s)
+        return RowPage(rows=rows, version=int(document["ver"]))
 
     async def write(self, writes: list[RowWrite]) -> WriteResult:
         """Write rows in one transaction."""
@@ -106,14 +108,16 @@
 
     async def _get(
         self, path: str, query: dict[str, str], *, timeout_s: float
-    ) -> dict[str, Any]:
+    ) -> tuple[dict[str, Any], list[StoredRow]]:
+        """Return the answer to a read of a table, and the rows in it."""
         target = f"{path}?{urlencode(query)}"
         try:
             response = await self._call("GET", target, b"", timeout_s=timeout_s)
+            document = _document(response)
+            return document, _rows(document, query["table"])
         except TableOutcomeUnknown as error:
             # A read changes nothing, so it can be retried like one that was not sent.
             raise TableUnavailable(str(error)) from error
-        return _document(response)
 
     async def _call(
         self, method: str, target: str, body: bytes, *, timeout_s: float | None = None
@@ -157,14 +161,12 @@
 
 def _document(response: BufferedResponse) -> dict[str, Any]:
     try:
-        document = json.loads(response.body)
-    except ValueError as error:
+        document = read_object(response.body)
+    except DocumentUnreadable as error:
         raise TableOutcomeUnknown(
-            f"the store's response is not JSON: {error}"
+            f"the store's response is unusable: {error}; read the rows back"
         ) from error
-    if not isinstance(document, dict) or (
-        response.head.status == 200 and type(document.get("ver")) is not int
-    ):
+    if response.head.status == 200 and type(document.get("ver")) is not int:
         raise TableOutcomeUnknown(
             "the store's response has no version; read the rows back"
         )
@@ -172,24 +174,32 @@
 
 
 def _rows(document: dict[str, Any], table: str) -> list[StoredRow]:
-    rows = []
-    for item in document.get("rows", []):
-        if not isinstance(item, dict) or item.get("table") != table:
-            continue
-        removed = bool(item.get("tombstone"))
-        try:
-            value = base64.b64decode(item.get("value") or "", validate=True)
-        except ValueError:
-            # The row stays in the result with an empty value: its version still counts,
-            # and the decoder rejects its content.
-            value = b""
-        rows.append(
-            StoredRow(
-                table=table,
-                key=str(item.get("key", "")),
-                value=value,
-                version=int(item.get("ver", 0)),
-                removed=removed,
-            )
-        )
-    return rows
+    items = document.get("rows", [])
+    if not isinstance(items, list):
+        raise TableOutcomeUnknown("the store's rows are no list; read them back")
+    return [_row(item) for item in items if _is_row(item, table)]
+
+
+def _is_row(item: Any, table: str) -> bool:
+    return (
+        isinstance(item, dict)
+        and item.get("table") == table
+        and isinstance(item.get("key"), str)
+        and type(item.get("ver")) is int
+    )
+
+
+def _row(item: dict[str, Any]) -> StoredRow:
+    try:
+        value = base64.b64decode(item.get("value") or "", validate=True)
+    except (ValueError, TypeError):
+        # The row stays in the result with an empty value: its version still counts,
+        # and the decoder rejects its content.
+        value = b""
+    return StoredRow(
+        table=item["table"],
+        key=item["key"],
+        value=value,
+        version=item["ver"],
+        removed=bool(item.get("tombstone")),
+    )
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -386,7 +386,7 @@
 def test_a_body_in_tiny_chunks_leaves_turns_to_other_requests():
     async def scenario(system):
         host, port = system.node.settings.front.split(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
+        _, writer = await asyncio.open_connection(host, int(port))
         writer.write(
             b"POST /look/it HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: q1\r\n"
             b"X-Credential: k1\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -84,7 +84,11 @@
 
 
 # Guards against a decoding error that ends the task which follows the feed.
-@pytest.mark.parametrize("value", [b"", b"\xff\xfe", b"[]", b"null", b"{"])
+@pytest.mark.parametrize(
+    "value",
+    [b"", b"\xff\xfe", b"[]", b"null", b"{", b"[" * 60_000, b'{"a":' * 12_000],
+    ids=lambda value: repr(value[:8]),
+)
 @pytest.mark.parametrize(
     ("table", "key"), [("op", "config"), ("op", "version/m"), ("servers", "e1")]
 )
