Reject numbers, ports and texts of other writers that cannot be used

Not seen here in operation. Cause: the decoders checked types, not ranges. A port over 65,535 raises OverflowError at each attempt to connect, slots of 10^400 in each calculation with a float, 1e400 in the conversion to a whole number; half a surrogate cannot be encoded for peers or headers. Change: numbers from 0 to 2^53 - 1, IPv4 addresses with ports from 1 to 65,535, names of visible ASCII, texts that can be encoded; connect() counts an impossible address as unreachable; the same for rows of VMs and reports of engines.

--- a/src/endivelug/forwarding/upstream_connection.py
+++ b/src/endivelug/forwarding/upstream_connection.py
@@ -291,7 +291,7 @@
         raise UpstreamNotListening(
             f"no connection to {address} ({error}); use another upstream"
         ) from error
-    except (OSError, TimeoutError, ValueError) as error:
+    except (OSError, TimeoutError, ValueError, OverflowError) as error:
         raise UpstreamUnreachable(
             f"no connection to {address} ({error or 'timeout'}); use another upstream"
         ) from error
--- a/src/endivelug/forwarding/vm_rows.py
+++ b/src/endivelug/forwarding/vm_rows.py
@@ -102,7 +102,12 @@
             address, data_centre, *rest = cbor2.loads(row.value)
             # Rows of earlier versions have no capacity.
             cores = float(rest[0]) if rest else 0.0
-        except (ValueError, TypeError, cbor2.CBORDecodeError) as error:
+        except (
+            ValueError,
+            TypeError,
+            OverflowError,
+            cbor2.CBORDecodeError,
+        ) as error:
             self.log(
                 "row-unreadable",
                 table=row.table,
--- a/src/endivelug/platform/engine_calls.py
+++ b/src/endivelug/platform/engine_calls.py
@@ -14,7 +14,11 @@
     OrderReply,
     WeightsOrder,
 )
-from endivelug.platform.documents import DocumentUnreadable, read_object
+from endivelug.platform.documents import (
+    DocumentUnreadable,
+    is_integer,
+    read_object,
+)
 
 REPORT_TIMEOUT_S = 0.7
 
@@ -41,14 +45,14 @@
         versions = {
             str(item.get("name")): item["version"]
             for item in models
-            if isinstance(item, dict) and type(item.get("version")) is int
+            if isinstance(item, dict) and is_integer(item.get("version"))
         }
         # "seq" is the number of orders that the engine accepted since its start.
         orders = document.get("seq")
         return EngineReport(
             versions=versions,
             busy=bool(document.get("busy")),
-            orders=orders if type(orders) is int else 0,
+            orders=orders if is_integer(orders) else 0,
         )
 
     async def order_weights(
--- a/src/endivelug/platform/records.py
+++ b/src/endivelug/platform/records.py
@@ -1,6 +1,5 @@
 """Decoders for rows of the operator and of upstreams."""
 
-import re
 from typing import Any
 
 from endivelug.exceptions import EndivelugError
@@ -26,7 +25,14 @@
     WeightedService,
 )
 from endivelug.forwarding.row_store import StoredRow
-from endivelug.platform.documents import DocumentUnreadable, read_object
+from endivelug.platform.documents import (
+    DocumentUnreadable,
+    is_address,
+    is_integer,
+    is_name,
+    is_text,
+    read_object,
+)
 
 OPERATOR_TABLE = "op"
 INSTANCE_TABLE = "servers"
@@ -35,7 +41,6 @@
 STATES = ("ready", "draining")
 # Capacity of a cache store whose configuration does not state it, in tokens.
 DEFAULT_STORE_TOKENS = 1_000_000
-_ADDRESS = re.compile(r"\d{1,3}(\.\d{1,3}){3}:\d{1,5}")
 
 
 class RecordUnreadable(EndivelugError):
@@ -62,7 +67,13 @@
         for item in document["routes"]:
             configuration.add_route(_route(item))
         _add_organisations(configuration, document.get("tenants"))
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (
+        KeyError,
+        TypeError,
+        ValueError,
+        AttributeError,
+        OverflowError,
+    ) as error:
         raise RecordUnreadable(f"the configuration is malformed: {error!r}") from error
     return configuration
 
@@ -71,7 +82,7 @@
     """Decode a model and the desired version of its weights."""
     document = _json_object(value)
     model, version = document.get("model"), document.get("version")
-    if not isinstance(model, str) or type(version) is not int:
+    if not is_text(model) or not is_integer(version):
         raise RecordUnreadable(
             "the desired weights lack a model name or an integer version"
         )
@@ -91,12 +102,15 @@
     # "zone" is the data centre, "slots" the number of requests that run concurrently.
     data_centre, slots = document.get("zone"), document.get("slots")
     state, born = document.get("state"), document.get("born", 0)
-    texts = (service, address, data_centre, state)
-    if not all(isinstance(text, str) for text in texts):
-        raise RecordUnreadable("service, address, zone and state must be strings")
-    if type(slots) is not int or slots < 1 or type(born) is not int:
-        raise RecordUnreadable("slots must be an integer above 0 and born an integer")
-    if state not in STATES or not _ADDRESS.fullmatch(str(address)):
+    if not is_name(name):
+        raise RecordUnreadable("the key must be visible ASCII characters")
+    if not all(is_text(text) for text in (service, data_centre, state)):
+        raise RecordUnreadable("service, zone and state must be strings")
+    if not is_integer(slots, minimum=1) or not is_integer(born):
+        raise RecordUnreadable(
+            "slots must be an integer above 0 and born one from 0, up to 2^53"
+        )
+    if state not in STATES or not is_address(address):
         raise RecordUnreadable("the state is unknown or the address is not IP:port")
     return Instance(
         name=name,
@@ -118,7 +132,7 @@
         if not isinstance(item, dict):
             raise RecordUnreadable("each entry of models must be an object")
         name, version = item.get("name"), item.get("version")
-        if not isinstance(name, str) or type(version) is not int:
+        if not is_text(name) or not is_integer(version):
             raise RecordUnreadable(
                 "each entry of models needs a name and an integer version"
             )
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -2,13 +2,22 @@
 
 import asyncio
 import json
+import random
 import time
 
+import cbor2
 import pytest
 
-from endivelug.exceptions import TableUnavailable, UpstreamBroken
+from endivelug.exceptions import (
+    TableUnavailable,
+    UpstreamBroken,
+    UpstreamUnreachable,
+)
 from endivelug.forwarding.connection_pool import ConnectionPool
 from endivelug.forwarding.records import UnreadableRecord
+from endivelug.forwarding.row_store import RowPage
+from endivelug.forwarding.upstream_connection import connect
+from endivelug.forwarding.vm_rows import VM_PREFIX, VmRows
 from endivelug.platform.engine_calls import EngineCalls
 from endivelug.platform.settings import SettingsError, load_node_settings
 from endivelug.platform.store import PlatformStore
@@ -100,6 +109,56 @@
     run_scenario(scenario)
 
 
+# Guards against probes, orders and requests that fail in an unforeseen way because an
+# address has a port out of range.
+@pytest.mark.parametrize("address", ["127.0.0.1:65536", "127.0.0.1:-1", "127.0.0.1:x"])
+def test_an_impossible_address_is_unreachable(address):
+    async def run():
+        with pytest.raises(UpstreamUnreachable):
+            await connect(address, timeout_s=0.5, clock=time.monotonic)
+
+    asyncio.run(run())
+
+
+# Guards against requests that are held, lost or refused because of an odd entry of the
+# same service, while its sound upstreams serve.
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"address": "127.0.0.1:70000"},
+        {"slots": 10**400},
+        {"slots": 1e400},
+        {"born": 10**300},
+        {"zone": "\ud800"},
+        {"models": [{"name": "m", "version": 10**300}]},
+    ],
+)
+def test_requests_are_served_beside_an_odd_entry(changes):
+    async def scenario(system):
+        fields = {"service": "desk", "models": [], **changes}
+        document = registration_document(**fields)
+        system.store.put("servers", "odd", document)
+        await wait_until(lambda: "row-unreadable" in system.log.events())
+        for number in range(10):
+            headers = {"X-Request-Id": f"q{number}"}
+            assert (await system.request("/look/it", headers=headers)).status == 200
+        assert "job-failed" not in system.log.events()
+
+    run_scenario(scenario)
+
+
+# Guards against a row of another writer among those of the VMs that keeps all from
+# joining.
+@pytest.mark.parametrize(
+    "value", [NESTED, b"\x81" * 1000, cbor2.dumps(["a", "b", 10**400]), b"", b"\x01"]
+)
+def test_an_odd_row_of_a_vm_is_left_out(value):
+    log = LogRecorder()
+    rows = VmRows(store=None, table="t", rng=random.Random(1), log=log)
+    page = RowPage(rows=[stored_row("t", VM_PREFIX + "odd", value, 1)], version=1)
+    assert rows._decode_vms(page) == []
+
+
 # Guards against an answer of the store that ends the job which asked for it.
 @pytest.mark.parametrize("body", [NESTED, b'{"ver": 7, "rows": 1}', b"[]", b"\xff"])
 def test_an_unreadable_answer_of_the_store_is_an_outage_of_it(body):
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -73,6 +73,20 @@
         {"zone": None},
         {"born": "1000"},
         {"born": 1.5},
+        {"born": -1},
+        {"born": 10**30},
+        {"slots": 10**400},
+        {"slots": 1e400},
+        {"slots": float("nan")},
+        {"address": "10.0.0.1:0"},
+        {"address": "10.0.0.1:65536"},
+        {"address": "10.0.0.1:99999"},
+        {"address": "10.0.0.256:80"},
+        {"address": "\u0661\u0660.0.0.1:80"},
+        {"address": "10.0.0.1:\u0668\u0660"},
+        {"zone": "\ud800"},
+        {"models": [{"name": "\ud800", "version": 1}]},
+        {"models": [{"name": "m", "version": 10**30}]},
         {"models": {"m": 1}},
         {"models": [{"name": "m", "version": "1"}]},
     ],
@@ -83,6 +97,24 @@
         decode_instance("e1", value)
 
 
+# Guards against an upstream whose name cannot be sent in a header.
+@pytest.mark.parametrize("name", ["", "e 1", "e1\r\nX-A: b", "\u30d5", "\ud800"])
+def test_a_registration_under_an_unusable_name_is_rejected(name):
+    value = json.dumps(registration_document()).encode()
+    with pytest.raises(RecordUnreadable):
+        decode_instance(name, value)
+
+
+# Guards against numbers in a configuration that overflow.
+@pytest.mark.parametrize(
+    "changes", [{"version": 1e400}, {"limits": {"maxBodyBytes": 1e400}}]
+)
+def test_a_configuration_with_a_number_too_large_is_rejected(changes):
+    value = json.dumps(configuration_document(**changes)).encode()
+    with pytest.raises(RecordUnreadable):
+        decode_configuration(value)
+
+
 # Guards against a decoding error that ends the task which follows the feed.
 @pytest.mark.parametrize(
     "value",
