Answer callers whose request meets an unforeseen error

The connection just stayed open. Cause: the task of a request catches only that the caller left. Any other exception (here tornado's HTTPInputError, raised when the header is written) ends the task; nobody answers or closes, and the log says caller-left. Change: Forwarder answers 502, which promises nothing, or cuts a stream that has begun, and logs `ended` with outcome `error`; FrontServer does the same for errors outside a call (`handler-failed`); a waiting call that cannot be placed fails alone.

--- a/src/endivelug/forwarding/dispatcher.py
+++ b/src/endivelug/forwarding/dispatcher.py
@@ -105,7 +105,7 @@
                 return NoPlacement(reasons=Counter({WaitReason.QUEUED: 1}))
             return placement
         except asyncio.CancelledError:
-            if future.done() and not future.cancelled():
+            if future.done() and not future.cancelled() and not future.exception():
                 # The placement was set in the same turn of the loop in which the caller
                 # disconnected.
                 self._remove_work(call, future.result())
@@ -123,7 +123,12 @@
                 waiter = self.waiters[waiting.request]
                 if waiter.future.done():
                     continue
-                placement = self.placer.place(waiter.call)
+                try:
+                    placement = self.placer.place(waiter.call)
+                except Exception as error:
+                    # Only this call fails; those behind it are placed.
+                    waiter.future.set_exception(error)
+                    continue
                 if isinstance(placement, NoPlacement):
                     failed += 1
                     if failed >= MAX_FAILED_PLACEMENTS:
--- a/src/endivelug/forwarding/forwarder.py
+++ b/src/endivelug/forwarding/forwarder.py
@@ -1,5 +1,6 @@
 """Serves callers' requests: authorises, places, sends and retries or refuses them."""
 
+import asyncio
 import json
 import random
 from collections.abc import Callable
@@ -17,7 +18,7 @@
     NotRun,
     NotSent,
 )
-from endivelug.forwarding.cluster_view import ClusterView
+from endivelug.forwarding.cluster_view import MAX_LOGGED_REASON, ClusterView
 from endivelug.forwarding.crash_suspects import Block
 from endivelug.forwarding.crash_watch import CrashWatch
 from endivelug.forwarding.dispatcher import Dispatcher
@@ -123,15 +124,15 @@
             return
         self.budget.record_request(call.service, now=now)
         self.recorder.metrics.record_request(call)
-        ended = False
         try:
             await self._serve(call, writer)
-            ended = True
         except CallerLeft:
-            pass
-        finally:
-            if not ended:
-                self.recorder.record_left(call)
+            self.recorder.record_left(call)
+        except asyncio.CancelledError:
+            self.recorder.record_left(call)
+            raise
+        except Exception as error:
+            await self._fail_unforeseen(call, writer, error)
 
     async def _admit(self, request: InboundRequest, writer: Writer) -> Call | None:
         """Return the call of a valid request, or send an error response."""
@@ -331,6 +332,20 @@
             )
             await self._send_error(call.request.id, writer, 503, reason, retry_after_s)
 
+    async def _fail_unforeseen(
+        self, call: Call, writer: Writer, error: Exception
+    ) -> None:
+        """End a call that met a fault of the program; it may have run."""
+        reason = f"unforeseen: {error!r}"[:MAX_LOGGED_REASON]
+        if not call.recorded_end:
+            self.recorder.record_undelivered(call, "error", reason)
+        if writer.head_sent:
+            writer.abort()
+        else:
+            await self._send_error(
+                call.request.id, writer, 502, "the router failed; look at its log"
+            )
+
     def _record_refusal(self, call: Call, retry_after_s: float) -> None:
         digest = request_digest(call)
         if digest is None:
--- a/src/endivelug/forwarding/front_server.py
+++ b/src/endivelug/forwarding/front_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from http import HTTPStatus
 from http.client import responses
 from typing import Any, cast
 
@@ -19,6 +20,7 @@
 
 from endivelug._caller_presence import CALLER_CHECK_INTERVAL_S, closed_connections
 from endivelug.exceptions import CallerLeft
+from endivelug.forwarding.cluster_view import MAX_LOGGED_REASON, LogLine
 from endivelug.forwarding.upstream_connection import Headers
 
 # Longer than the idle time that the configuration grants to callers; the limit of file
@@ -56,11 +58,10 @@
             fields["Connection"] = "close"
         if body is not None:
             fields["Content-Length"] = str(len(body))
-        self.head_sent = True
         line = ResponseStartLine("HTTP/1.1", status, reason or _default_reason(status))
-        await self._finish_write(
-            self.connection.write_headers(line, fields, body or b"")
-        )
+        written = self.connection.write_headers(line, fields, body or b"")
+        self.head_sent = True
+        await self._finish_write(written)
         if body is not None:
             self.connection.finish()
 
@@ -87,6 +88,16 @@
         if not self.disconnected:
             self.connection.finish()
 
+    async def fail(self) -> None:
+        """End a response that a fault of the program keeps from being given."""
+        try:
+            if not self.head_sent:
+                await self.start(HTTPStatus.BAD_GATEWAY, "", [], b"")
+                return
+        except CallerLeft:
+            pass
+        self.abort()
+
     def abort(self) -> None:
         """Close the connection, so that the response does not look complete."""
         stream: Any = getattr(self.connection, "stream", None)
@@ -160,6 +171,13 @@
             )
         except CallerLeft:
             self.server.left_total += 1
+        except Exception as error:
+            self.server.log(
+                "handler-failed",
+                path=self.line.path[:MAX_LOGGED_REASON],
+                reason=repr(error)[:MAX_LOGGED_REASON],
+            )
+            await writer.fail()
 
 
 class FrontServer(HTTPServerConnectionDelegate):
@@ -177,8 +195,9 @@
         Readers of connections on which no request has begun.
     """
 
-    def __init__(self, *, handler: Handler) -> None:
+    def __init__(self, *, handler: Handler, log: LogLine) -> None:
         self.handler = handler
+        self.log = log
         self.closing = False
         self.tasks: dict[Writer, asyncio.Task[None]] = {}
         self.left_total = 0
--- a/src/endivelug/forwarding/node.py
+++ b/src/endivelug/forwarding/node.py
@@ -199,9 +199,9 @@
         )
         self.loop_watch = LoopWatch(clock=self.clock, log=log)
         self.forwarder = self._make_forwarder()
-        self.front_server = FrontServer(handler=self.forwarder.handle)
-        self.readiness_server = FrontServer(handler=self._answer_ready)
-        self.metrics_server = FrontServer(handler=self._answer_metrics)
+        self.front_server = FrontServer(handler=self.forwarder.handle, log=log)
+        self.readiness_server = FrontServer(handler=self._answer_ready, log=log)
+        self.metrics_server = FrontServer(handler=self._answer_metrics, log=log)
         self.stopping = False
         self.vacant_since = self.clock()
         self.jobs = BackgroundJobs(log=log)
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -205,6 +205,10 @@
         """Send the last chunk, which ends the body."""
         await self.send(b"0\r\n\r\n")
 
+    async def reset_after_request(self) -> None:
+        """Reset the TCP connection in place of an answer."""
+        self.reset()
+
     def reset(self) -> None:
         """Reset the TCP connection."""
         self.closed = True
