Take an answer with control characters in its head as invalid

Requests that may be repeated were given up with 502 where an upstream spoilt a header of its answer, though another one could serve them. Cause: h11 lets control characters in values and in the reason pass, tornado refuses to write them, and a version of weights with over 4,300 digits cannot be converted. Change: the parser refuses such heads, so that the attempt counts as lost and a request that may be repeated is sent to another upstream; versions in headers have at most 15 digits. Ruled out: dropping the header and passing on the rest. What is not valid HTTP is not the upstream's answer, and nobody can tell what else was spoilt.

--- a/src/endivelug/forwarding/response_parser.py
+++ b/src/endivelug/forwarding/response_parser.py
@@ -4,6 +4,7 @@
 thousands of tiny chunks, so that the caller of a step decides when the next one is due.
 """
 
+import re
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -19,6 +20,9 @@
 STEP_BYTES = 16 * 1024
 STEP_PARTS = 64
 
+# What must not stand in a header or in the reason; h11 lets most of it pass.
+_CONTROL = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
+
 Headers = list[tuple[str, str]]
 
 
@@ -69,6 +73,10 @@
     return h11.Connection(our_role=h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
 
 
+def _values(head: ResponseHead) -> list[str]:
+    return [value for _, value in head.headers]
+
+
 class ResponseParser:
     """Finds the response to one request in the bytes of a connection.
 
@@ -198,6 +206,8 @@
                 for name, value in event.headers
             ],
         )
+        if any(_CONTROL.search(text) for text in (head.reason, *_values(head))):
+            raise ResponseInvalid("the head of an answer holds control characters")
         self._skipping = not self.accepts(head)
         if self._skipping:
             self._count_other_response()
--- a/src/endivelug/platform/header_format.py
+++ b/src/endivelug/platform/header_format.py
@@ -50,6 +50,8 @@
         "host",
     }
 )
+# Numbers with more digits are not exact for most readers.
+MAX_NUMBER_DIGITS = 15
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d+)", re.IGNORECASE)
 
 
@@ -130,7 +132,7 @@
         return ResponseInfo(
             not_run=head.status == 421 or head.get("x-not-executed") is not None,
             signed=head.get("x-response-seal") is not None,
-            weights=int(weights) if weights and weights.isdecimal() else None,
+            weights=_version(weights),
             idle_s=float(idle[1]) if idle else None,
             other_instance=head.status == 421 and responder not in (None, instance),
         )
@@ -159,6 +161,13 @@
     return f"{options.continue_at}/{request.id}"
 
 
+def _version(text: str | None) -> int | None:
+    """Return a version in a header, or None if there is no usable one."""
+    if text is None or not text.isdecimal() or len(text) > MAX_NUMBER_DIGITS:
+        return None
+    return int(text)
+
+
 def _connection_names(values: dict[str, str]) -> set[str]:
     """Return the names of the headers that the ``Connection`` header lists."""
     return {
--- a/tests/test_unforeseen_errors.py
+++ b/tests/test_unforeseen_errors.py
@@ -134,3 +134,40 @@
             assert len(system.attempts()) == 1
 
     run_scenario(scenario)
+
+
+# Guards against giving up a request that may be repeated because one upstream spoils a
+# header, in place of asking another one.
+@pytest.mark.parametrize(
+    "line", [b"X-A: \x01", b"X-A: a\x7fb", b"X-Weight-Versions: " + b"1" * 5000]
+)
+def test_a_request_is_repeated_after_an_answer_with_a_spoilt_header(line):
+    async def spoil(exchange):
+        head = f"HTTP/1.1 200 X\r\nX-Request-Id: {exchange.id}\r\n"
+        rest = b"\r\nX-Response-Seal: s\r\nContent-Length: 2\r\n\r\nok"
+        await exchange.send(head.encode() + line + rest)
+
+    async def scenario(system):
+        system.desks[0].script = spoil
+        for number in range(6):
+            headers = {"X-Request-Id": f"q{number}"}
+            assert (await system.request("/look/it", headers=headers)).status == 200
+        assert len(system.attempts()) > 6 or b"Weight" in line
+
+    run_scenario(scenario)
+
+
+# Guards against an answer whose reason splits the head that the caller gets.
+@pytest.mark.parametrize("reason", [b"a\x0bb", b"\x7f", b"\x01"])
+def test_a_reason_with_control_characters_is_no_answer(reason):
+    async def spoil(exchange):
+        head = f"\r\nX-Request-Id: {exchange.id}\r\nX-Response-Seal: s\r\n"
+        rest = b"Content-Length: 2\r\n\r\nok"
+        await exchange.send(b"HTTP/1.1 200 " + reason + head.encode() + rest)
+
+    async def scenario(system):
+        for desk in system.desks:
+            desk.script = spoil
+        assert (await system.request("/a/orders/1")).status == 502
+
+    run_scenario(scenario)
