Pass headers of callers on with the bytes that came

Cause: tornado reads bytes of headers as Latin-1, h11 encodes texts as ASCII. Change: headers are encoded as Latin-1, which gives the bytes back. Keys and models are read as UTF-8, names of organisations and namespaces sent as UTF-8. A path that is not ASCII can't be sent and is answered 400 at once, as are sizes that are no usable whole numbers.

--- a/src/endivelug/forwarding/upstream_connection.py
+++ b/src/endivelug/forwarding/upstream_connection.py
@@ -154,8 +154,13 @@
         if self.closed or self._transport.is_closing():
             raise UpstreamBroken("the connection is closed; use another one")
         encoder = new_parser()
+        # Headers of callers are bytes that were read as Latin-1.
+        headers = [
+            (name.encode("latin-1"), value.encode("latin-1"))
+            for name, value in head.headers
+        ]
         data = encoder.send(
-            h11.Request(method=head.method, target=head.target, headers=head.headers)
+            h11.Request(method=head.method, target=head.target, headers=headers)
         )
         assert data is not None
         tail = encoder.send(h11.Data(data=body)) if body else b""
--- a/src/endivelug/platform/header_format.py
+++ b/src/endivelug/platform/header_format.py
@@ -70,6 +70,8 @@
         request_id = values.get("x-request-id", "")
         if not request_id:
             raise BadRequest("the request has no id")
+        if not target.isascii():
+            raise BadRequest("the path has characters that must be percent-encoded")
         dropped = HOP_BY_HOP | ROUTER_HEADERS | _connection_names(values)
         request = InboundRequest(
             id=request_id,
@@ -79,10 +81,10 @@
             headers=[
                 (name, value) for name, value in headers if name.lower() not in dropped
             ],
-            key=values.get("x-credential"),
+            key=_text(values.get("x-credential")),
             received_at=now,
             deadline=now + _seconds_from_ms(values.get("x-deadline-ms")),
-            model=values.get("x-model"),
+            model=_text(values.get("x-model")),
             last_event=values.get("last-event-id"),
         )
         _decode_prompt(request, values)
@@ -97,9 +99,9 @@
         headers.append(("X-Deadline-Ms", str(left_ms)))
         headers.append(("X-Expect-Instance", options.instance))
         optional = (
-            ("X-Tenant", options.organisation),
+            ("X-Tenant", _header_value(options.organisation)),
             ("X-Expect-Version", options.weights),
-            ("X-Cache-Salt", options.cache_namespace),
+            ("X-Cache-Salt", _header_value(options.cache_namespace)),
             ("X-Kv-Fetch", options.fetch_from),
             ("X-Kv-Save", options.save_to),
             ("X-Request-Priority", options.priority),
@@ -161,6 +163,21 @@
     return f"{options.continue_at}/{request.id}"
 
 
+def _text(value: str | None) -> str | None:
+    """Return the text in a header, whose bytes are read as Latin-1, if it is UTF-8."""
+    if value is None or value.isascii():
+        return value
+    try:
+        return value.encode("latin-1").decode("utf-8")
+    except UnicodeError:
+        return value
+
+
+def _header_value(text: str | None) -> str | None:
+    """Return a text as the value of a header: its bytes in UTF-8, read as Latin-1."""
+    return None if text is None else text.encode("utf-8").decode("latin-1")
+
+
 def _version(text: str | None) -> int | None:
     """Return a version in a header, or None if there is no usable one."""
     if text is None or not text.isdecimal() or len(text) > MAX_NUMBER_DIGITS:
@@ -190,12 +207,21 @@
         usage = values.get("x-token-usage")
         if usage:
             prompt, _, output = usage.partition(",")
-            request.prompt_tokens = int(prompt)
-            request.output_tokens = int(output or 0)
+            request.prompt_tokens = _size(prompt)
+            request.output_tokens = _size(output or "0")
         for entry in filter(None, values.get("x-prompt-prefix", "").split(",")):
             segment, _, tokens = entry.strip().partition(":")
-            request.prompt.append(PromptSegment(segment_id=segment, tokens=int(tokens)))
+            request.prompt.append(
+                PromptSegment(segment_id=segment, tokens=_size(tokens))
+            )
     except ValueError:
-        raise BadRequest("the sizes of the prompt are not numbers") from None
+        raise BadRequest("the sizes of the prompt are not whole numbers") from None
     if not request.prompt_tokens:
         request.prompt_tokens = sum(segment.tokens for segment in request.prompt)
+
+
+def _size(text: str) -> int:
+    digits = text.strip()
+    if not digits.isdecimal() or len(digits) > MAX_NUMBER_DIGITS:
+        raise ValueError(digits[:MAX_NUMBER_DIGITS])
+    return int(digits)
--- a/tests/test_unforeseen_errors.py
+++ b/tests/test_unforeseen_errors.py
@@ -5,8 +5,15 @@
 
 import pytest
 
+from forwarding_builders import configuration_document, registration_document
 from platform_standins import Exchange, request
-from router_process import PROMPT, metrics_port, run_scenario
+from router_process import (
+    PROMPT,
+    metrics_port,
+    run_scenario,
+    stream_three_events,
+    wait_until,
+)
 
 __all__ = ["metrics_port"]
 
@@ -171,3 +178,64 @@
         assert (await system.request("/a/orders/1")).status == 502
 
     run_scenario(scenario)
+
+
+# Guards against callers whose headers are in UTF-8 and who got no answer at all.
+@pytest.mark.parametrize("name", ["X-Shop", "X-Request-Id", "X-Model"])
+def test_a_header_in_utf8_is_passed_on_unchanged(name):
+    async def scenario(system):
+        headers = {name: "\u30d5\u30e9\u30ce \u00e9"}
+        assert (await system.request("/look/it", headers=headers)).status == 200
+        (attempt,) = system.attempts()
+        assert attempt.headers[name.lower()] == headers[name]
+
+    run_scenario(scenario)
+
+
+# Guards against refusing or failing the requests of an organisation whose name, key or
+# model is not ASCII, and against passing its name on in another form.
+@pytest.mark.parametrize("isolated", [False, True])
+def test_an_organisation_with_a_name_in_utf8_is_served(isolated):
+    name, key, model = "\u5e83\u5c3e", "cl\u00e9-\u30ad\u30fc", "m\u00f6del"
+    organisation = {"name": name, "apiKeys": [key], "isolated": isolated}
+
+    async def scenario(system):
+        document = registration_document(
+            address=system.engines[0].address, models=[{"name": model, "version": 1}]
+        )
+        system.store.put("servers", "i0", document)
+        view = system.node.view
+        await wait_until(lambda: view.registry.get("i0").version_of(model) == 1)
+        system.engines[0].script = stream_three_events
+        headers = {**PROMPT, "X-Credential": key, "X-Model": model}
+        response = await system.request(headers=headers)
+        assert response.status == 200
+        assert response.complete
+        (attempt,) = system.attempts()
+        assert attempt.headers["x-tenant"] == name
+        assert attempt.headers["x-model"] == model
+        assert (name in attempt.headers["x-cache-salt"]) is isolated
+
+    run_scenario(scenario, configuration=configuration_document(tenants=[organisation]))
+
+
+# Guards against a request that cannot be sent on and would be tried until its deadline.
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"target": "/look/\u30d5"},
+        {"headers": {"X-Token-Usage": "1" * 5000}},
+        {"headers": {"X-Token-Usage": "-5,3"}},
+        {"headers": {"X-Prompt-Prefix": "aa:1e3"}},
+        {"headers": {"X-Prompt-Prefix": "aa:" + "9" * 400}},
+    ],
+)
+def test_a_request_that_cannot_be_sent_on_is_answered_at_once(changes):
+    async def scenario(system):
+        started = time.monotonic()
+        response = await system.request(**{"target": "/look/it", **changes})
+        assert response.status == 400
+        assert time.monotonic() - started < 1.0
+        assert system.attempts() == []
+
+    run_scenario(scenario)
