Send no two attempts of a request on one connection

Cause: an answer is matched by the id of the request, which all its attempts share. A refused request went to the same upstream again on the connection on which it had been refused, and the late copy of that refusal passed for the answer to the new attempt. Ruled out: other requests on the connection, whose ids differ; the retry budget and the dispatcher, which act on what the attempt reports. Change: a connection remembers the requests that it was given (at most 512, then it is closed) and carries none twice. An error without an id is believed only on a connection that carried nothing before. Control calls bear no id and share no connection with requests.

--- a/src/endivelug/forwarding/attempt.py
+++ b/src/endivelug/forwarding/attempt.py
@@ -104,7 +104,10 @@
         connect_timeout_s = attempt_limits.connect_timeout_s(call, now=self.clock())
         try:
             connection = await self.pool.acquire(
-                address, timeout_s=connect_timeout_s, max_idle_s=idle_s
+                address,
+                timeout_s=connect_timeout_s,
+                max_idle_s=idle_s,
+                request_id=call.request.id,
             )
         except UpstreamUnreachable as error:
             return NotSent(reason=str(error))
@@ -178,6 +181,9 @@
             self.view.observe_weights(
                 placement.instance, call.request.model, info.weights
             )
+        if not info.identified and len(connection.carried) > 1:
+            # It may be a late copy of the answer to an earlier request.
+            return Lost(reason="an error without an id on a used connection"), None
         if info.not_run:
             call.runs -= 1
             await self._read_body(call, connection)
--- a/src/endivelug/forwarding/connection_pool.py
+++ b/src/endivelug/forwarding/connection_pool.py
@@ -1,4 +1,10 @@
-"""A pool of idle connections to upstreams, by address."""
+"""A pool of idle connections to upstreams, by address and use.
+
+An upstream may send a second copy of an answer, late, on a connection that is in use
+again. The id of a request tells its answer from those of other requests, but not from
+those of its other attempts. So no connection carries a request twice, and what carries
+no id has connections of its own.
+"""
 
 import asyncio
 from collections.abc import Callable
@@ -14,6 +20,7 @@
 from endivelug.forwarding.upstream_connection import (
     RequestHead,
     UpstreamConnection,
+    Use,
     connect,
 )
 
@@ -22,6 +29,8 @@
 # A connection is not reused within this time before the upstream's idle timeout.
 IDLE_MARGIN_S = 0.5
 MAX_IDLE_PER_ADDRESS = 64
+# A connection is closed after so many requests, all of which it remembers.
+MAX_REQUESTS = 512
 
 
 @dataclass(slots=True, kw_only=True)
@@ -51,11 +60,16 @@
     """
 
     clock: Callable[[], float]
-    idle: dict[str, list[_IdleEntry]] = field(default_factory=dict)
+    idle: dict[tuple[str, Use], list[_IdleEntry]] = field(default_factory=dict)
     opened_total: int = 0
 
     async def acquire(
-        self, address: str, *, timeout_s: float, max_idle_s: float = MAX_IDLE_S
+        self,
+        address: str,
+        *,
+        timeout_s: float,
+        max_idle_s: float = MAX_IDLE_S,
+        request_id: str | None = None,
     ) -> UpstreamConnection:
         """Return an idle connection or a new one.
 
@@ -64,23 +78,51 @@
         max_idle_s : float
             Longest idle time of a reused connection; short if the request must not be
             repeated.
+        request_id : str or None
+            Id of the request that the connection is to carry; it has not carried it
+            before. None for a connection of control calls.
+
+        Raises
+        ------
+        UpstreamUnreachable
+            If no connection was made in time.
+        """
+        use = Use.CONTROL if request_id is None else Use.CALLS
+        connection = self._take_idle(address, use, max_idle_s, hash(request_id))
+        if connection is None:
+            connection = await self.open(address, timeout_s=timeout_s)
+            connection.use = use
+        connection.carried.add(hash(request_id))
+        return connection
+
+    async def open(self, address: str, *, timeout_s: float) -> UpstreamConnection:
+        """Return a new connection.
 
         Raises
         ------
         UpstreamUnreachable
             If no connection was made in time.
         """
+        self.opened_total += 1
+        return await connect(address, timeout_s=timeout_s, clock=self.clock)
+
+    def _take_idle(
+        self, address: str, use: Use, max_idle_s: float, request: int
+    ) -> UpstreamConnection | None:
+        """Take the idle connection that was used last and may carry a request."""
         now = self.clock()
-        entries = self.idle.get(address, [])
-        while entries:
-            entry = entries.pop()
+        entries = self.idle.get((address, use), [])
+        for entry in reversed(entries.copy()):
             connection = entry.connection
             unexpired = now < min(connection.idle_until, entry.since + max_idle_s)
-            if connection.reusable and unexpired:
+            usable = connection.reusable and unexpired
+            if usable and use is Use.CALLS and request in connection.carried:
+                continue
+            entries.remove(entry)
+            if usable:
                 return connection
             connection.abort()
-        self.opened_total += 1
-        return await connect(address, timeout_s=timeout_s, clock=self.clock)
+        return None
 
     def release(
         self, address: str, connection: UpstreamConnection, *, idle_s: float | None
@@ -92,8 +134,10 @@
         idle_s : float or None
             Idle timeout that the upstream stated, if any.
         """
-        entries = self.idle.setdefault(address, [])
-        if not connection.reusable or len(entries) >= MAX_IDLE_PER_ADDRESS:
+        entries = self.idle.setdefault((address, connection.use), [])
+        used_up = len(connection.carried) >= MAX_REQUESTS
+        full = len(entries) >= MAX_IDLE_PER_ADDRESS
+        if not connection.reusable or used_up or full:
             connection.abort()
             return
         now = self.clock()
@@ -103,13 +147,14 @@
 
     def close_idle(self, address: str) -> None:
         """Close the idle connections to an address that is no longer used."""
-        for entry in self.idle.pop(address, []):
-            entry.connection.abort()
+        for use in Use:
+            for entry in self.idle.pop((address, use), []):
+                entry.connection.abort()
 
     def close_expired(self) -> None:
         """Close the connections that have been idle for too long."""
         now = self.clock()
-        for address, entries in list(self.idle.items()):
+        for key, entries in list(self.idle.items()):
             usable = []
             for entry in entries:
                 expired = now >= min(
@@ -120,13 +165,13 @@
                 else:
                     usable.append(entry)
             if usable:
-                self.idle[address] = usable
+                self.idle[key] = usable
             else:
-                del self.idle[address]
+                del self.idle[key]
 
     def close(self) -> None:
         """Close every idle connection."""
-        for address in list(self.idle):
+        for address, _ in list(self.idle):
             self.close_idle(address)
 
     async def request(
@@ -138,11 +183,14 @@
         timeout_s: float,
         connect_timeout_s: float = 1.0,
         may_send: Callable[[], bool] | None = None,
+        own_connection: bool = False,
     ) -> BufferedResponse:
-        """Send a request and return the complete response.
+        """Send a control call and return the complete response.
 
         Parameters
         ----------
+        own_connection : bool
+            Whether the call has a new connection, on which no other answer can arrive.
         may_send : callable or None
             Called once a connection is open; if it returns False, nothing is sent.
 
@@ -153,9 +201,8 @@
         UpstreamBroken
             If the response was lost; the request may have run.
         """
-        connection = await self.acquire(
-            address, timeout_s=min(timeout_s, connect_timeout_s)
-        )
+        get = self.open if own_connection else self.acquire
+        connection = await get(address, timeout_s=min(timeout_s, connect_timeout_s))
         if may_send is not None and not may_send():
             self.release(address, connection, idle_s=None)
             raise UpstreamUnreachable(
@@ -173,7 +220,7 @@
                 "before repeating it"
             ) from error
         finally:
-            if done:
+            if done and not own_connection:
                 self.release(address, connection, idle_s=None)
             else:
                 connection.abort()
--- a/src/endivelug/forwarding/requests.py
+++ b/src/endivelug/forwarding/requests.py
@@ -102,6 +102,8 @@
         Idle timeout of the connection, if the upstream states one.
     other_instance : bool
         Whether an instance other than the intended one responded.
+    identified : bool
+        Whether the response names the request to which it belongs.
     """
 
     not_run: bool
@@ -109,6 +111,7 @@
     weights: int | None
     idle_s: float | None
     other_instance: bool = False
+    identified: bool = True
 
 
 class WireFormat(Protocol):
--- a/src/endivelug/forwarding/upstream_connection.py
+++ b/src/endivelug/forwarding/upstream_connection.py
@@ -10,6 +10,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 from typing import cast
 
 import h11
@@ -47,6 +48,7 @@
     "ResponseEvent",
     "ResponseHead",
     "UpstreamConnection",
+    "Use",
     "connect",
 ]
 
@@ -60,6 +62,13 @@
     headers: Headers
 
 
+class Use(Enum):
+    """What a connection carries: requests of callers, or control calls."""
+
+    CALLS = "calls"
+    CONTROL = "control"
+
+
 class UpstreamConnection(asyncio.Protocol):
     """A connection that carries one request at a time; ``connect`` creates it.
 
@@ -69,12 +78,16 @@
         Clock time of the last received byte, or of the creation of the connection.
     idle_until : float
         Clock time after which an idle connection must not be reused.
+    carried : set of int
+        Hashes of the ids of the requests that it was given to carry.
     """
 
     def __init__(self, *, clock: Callable[[], float]) -> None:
         self.clock = clock
         self.last_byte_at = clock()
         self.idle_until = float("inf")
+        self.use = Use.CALLS
+        self.carried: set[int] = set()
         self.closed = False
         self.on_closed: Callable[[], None] | None = None
         self._transport: asyncio.Transport
--- a/src/endivelug/platform/header_format.py
+++ b/src/endivelug/platform/header_format.py
@@ -119,7 +119,7 @@
     def matches_request(self, request: InboundRequest, head: ResponseHead) -> bool:
         """Return whether a response belongs to this request.
 
-        A refusal without an id is attributed to this request, because nothing ran.
+        An error without an id may belong to it; ``ResponseInfo.identified`` tells.
         """
         request_id = head.get("x-request-id")
         if request_id is not None:
@@ -137,6 +137,7 @@
             weights=_version(weights),
             idle_s=float(idle[1]) if idle else None,
             other_instance=head.status == 421 and responder not in (None, instance),
+            identified=head.get("x-request-id") is not None,
         )
 
     def caller_headers(self, head: ResponseHead) -> Headers:
--- /dev/null
+++ b/tests/test_late_copies.py
@@ -0,0 +1,155 @@
+"""Upstreams that send an answer once more, late, on a connection in use again."""
+
+import asyncio
+import time
+
+import pytest
+
+from endivelug.forwarding.connection_pool import MAX_REQUESTS, ConnectionPool
+from platform_standins import response_bytes, running_upstream
+from router_process import metrics_port, run_scenario
+
+__all__ = ["metrics_port"]
+
+
+class RepeatingUpstream:
+    """Script that refuses a request first, and sends the refusal again later.
+
+    The copy comes before the answer to the second attempt, if that comes on the same
+    connection. Each request runs once.
+    """
+
+    def __init__(self, refusal):
+        self.refusal = refusal
+        self.refused = {}
+        self.runs = []
+
+    async def __call__(self, exchange):
+        copy = self.refusal(exchange.id)
+        if exchange.id not in self.refused:
+            self.refused[exchange.id] = exchange.writer
+            await exchange.send(copy)
+            return
+        if self.refused[exchange.id] is exchange.writer:
+            await exchange.send(copy)
+            await asyncio.sleep(0.05)
+        self.runs.append(exchange.id)
+        await exchange.respond()
+
+
+def refusal(request_id, status=503):
+    return response_bytes(request_id, b"", status=status, X_Not_Executed="1")
+
+
+def refusal_without_id(request_id):
+    return refusal("")
+
+
+# Guards against an order that runs twice, or is refused as "not run" while it runs,
+# because a late copy of the first refusal is taken for the answer to the next attempt.
+@pytest.mark.parametrize("status", [503, 429, 421])
+def test_a_late_copy_of_a_refusal_does_not_refuse_the_next_attempt(status):
+    async def scenario(system):
+        script = RepeatingUpstream(lambda request: refusal(request, status))
+        (desk,) = system.desks
+        desk.script = script
+        # The connection is open before, so that the attempts meet on it.
+        script.refused["warm-up"] = None
+        await system.request("/a/orders/1", headers={"X-Request-Id": "warm-up"})
+        response = await system.request("/a/orders/1")
+        assert response.status == 200
+        assert script.runs.count("q1") == 1
+
+    run_scenario(scenario, desks=1)
+
+
+# Guards against the same for a refusal that names no request: on a used connection
+# nobody can tell to which attempt it belongs.
+def test_a_refusal_without_an_id_on_a_used_connection_promises_nothing():
+    async def scenario(system):
+        script = RepeatingUpstream(refusal_without_id)
+        (desk,) = system.desks
+        desk.script = script
+        script.refused["warm-up"] = None
+        await system.request("/a/orders/1", headers={"X-Request-Id": "warm-up"})
+        response = await system.request("/a/orders/1")
+        assert response.status == 502
+        assert len(desk.exchanges) == 2
+
+    run_scenario(scenario, desks=1)
+
+
+# Guards against giving up a request because an upstream refuses it without its id.
+def test_a_refusal_without_an_id_on_a_new_connection_is_believed():
+    async def scenario(system):
+        script = RepeatingUpstream(refusal_without_id)
+        (system.desks[0].script,) = [script]
+        response = await system.request("/a/orders/1")
+        assert response.status == 200
+        assert script.runs == ["q1"]
+
+    run_scenario(scenario, desks=1)
+
+
+def run_with_pool(scenario):
+    async def run():
+        pool = ConnectionPool(clock=time.monotonic)
+        async with running_upstream() as upstream, asyncio.timeout(10):
+            await scenario(pool, upstream)
+        pool.close()
+
+    asyncio.run(run())
+
+
+# Guards against a connection that carries a request twice, while one that can carry it
+# is left unused.
+def test_a_connection_is_given_to_other_requests_only():
+    async def scenario(pool, upstream):
+        async def acquire(request_id):
+            return await pool.acquire(
+                upstream.address, timeout_s=1.0, request_id=request_id
+            )
+
+        first = await acquire("a")
+        pool.release(upstream.address, first, idle_s=None)
+        assert await acquire("b") is first
+        pool.release(upstream.address, first, idle_s=None)
+        second = await acquire("a")
+        assert second is not first
+        pool.release(upstream.address, second, idle_s=None)
+        assert await acquire("b") is second
+        assert await acquire("c") is first
+        assert pool.opened_total == 2
+
+    run_with_pool(scenario)
+
+
+# Guards against a memory of requests that grows with the age of a connection, and
+# against forgetting those that it has carried.
+def test_a_connection_is_closed_when_it_has_carried_all_that_it_remembers():
+    async def scenario(pool, upstream):
+        connections = set()
+        for number in range(MAX_REQUESTS + 1):
+            connection = await pool.acquire(
+                upstream.address, timeout_s=1.0, request_id=f"q{number}"
+            )
+            connections.add(connection)
+            pool.release(upstream.address, connection, idle_s=None)
+        assert len(connections) == 2
+
+    run_with_pool(scenario)
+
+
+# Guards against taking a late answer to a caller's request for that to a control call,
+# which names none, and the other way round.
+def test_control_calls_and_requests_share_no_connection():
+    async def scenario(pool, upstream):
+        for _ in range(3):
+            control = await pool.acquire(upstream.address, timeout_s=1.0)
+            call = await pool.acquire(upstream.address, timeout_s=1.0, request_id="a")
+            assert control is not call
+            pool.release(upstream.address, control, idle_s=None)
+            pool.release(upstream.address, call, idle_s=None)
+        assert await pool.acquire(upstream.address, timeout_s=1.0) is control
+
+    run_with_pool(scenario)
