Give each order to an engine a connection of its own

What operators would see: an engine counts as loaded with new weights although the order was not carried out, or an order counts as refused that was accepted. Cause: orders went on kept connections after reports, and neither bears an id. A second copy of a report, late, passed for the answer to the order (200, already loaded). Change: an order is sent on a new connection, on which no other answer can arrive. Orders are rare, so that the connections hardly count. Test: test_a_late_copy_of_a_report_does_not_answer_an_order fails without it.

--- a/src/endivelug/platform/engine_calls.py
+++ b/src/endivelug/platform/engine_calls.py
@@ -122,6 +122,8 @@
             timeout_s=timeout_s,
             connect_timeout_s=timeout_s / 2,
             may_send=may_send,
+            # A second copy of a report would be taken for the answer to an order.
+            own_connection=may_send is not None,
         )
 
 
--- a/tests/test_late_copies.py
+++ b/tests/test_late_copies.py
@@ -5,7 +5,11 @@
 
 import pytest
 
+from endivelug.exceptions import UpstreamUnreachable
 from endivelug.forwarding.connection_pool import MAX_REQUESTS, ConnectionPool
+from endivelug.forwarding.weights_rollout import OrderReply, WeightsOrder
+from endivelug.platform.engine_calls import EngineCalls
+from forwarding_builders import make_instance
 from platform_standins import response_bytes, running_upstream
 from router_process import metrics_port, run_scenario
 
@@ -153,3 +157,30 @@
         assert await pool.acquire(upstream.address, timeout_s=1.0) is control
 
     run_with_pool(scenario)
+
+
+# Guards against a second copy of an engine's report that is taken for the answer to an
+# order, so that the weights count as loaded.
+def test_a_late_copy_of_a_report_does_not_answer_an_order():
+    order = WeightsOrder(model="m", version=2, holder="a", fencing=1, expected_orders=0)
+
+    async def scenario(pool, upstream):
+        async def script(exchange):
+            if exchange.target == "/report":
+                await exchange.respond(b'{"models": [], "seq": 0}')
+                return
+            if upstream.exchanges[0].writer is exchange.writer:
+                await exchange.respond(b'{"models": [], "seq": 0}')
+            await exchange.respond(b"{}", status=202)
+
+        upstream.script = script
+        engines = EngineCalls(pool=pool)
+        instance = make_instance(address=upstream.address)
+        await engines.report(instance)
+        reply = await engines.order_weights(instance, order, may_send=lambda: True)
+        assert reply is OrderReply.ACCEPTED
+        with pytest.raises(UpstreamUnreachable):
+            await engines.order_weights(instance, order, may_send=lambda: False)
+        assert [item.method for item in upstream.exchanges] == ["GET", "POST"]
+
+    run_with_pool(scenario)
