Tell calls apart by a key of their own

What callers would see: of two calls that wait at one router under the same id, the one that came first is never placed and waits until its time is over; its end then raises KeyError, and the work of one of two such calls at an engine is forgotten. Cause: waiting calls, queue and work of an engine were keyed by the id of the request, which is its caller's choice. Change: each call has a key of its own; the id stays in headers and log lines. Test: test_calls_whose_ids_collide_are_told_apart fails on the commit before.

--- a/src/endivelug/forwarding/attempt.py
+++ b/src/endivelug/forwarding/attempt.py
@@ -374,7 +374,7 @@
         self.pool.release(address, connection, idle_s=None)
 
     def _report_started(self, call: Call, placement: Placement) -> None:
-        work = self.view.loads.of(placement.instance.name).work.get(call.request.id)
+        work = self.view.loads.of(placement.instance.name).work.get(call.key)
         if work is None or work.started:
             return
         self.on_started(call, placement)
--- a/src/endivelug/forwarding/calls.py
+++ b/src/endivelug/forwarding/calls.py
@@ -1,5 +1,6 @@
 """State of one request in the router, and the possible outcomes of an attempt."""
 
+import itertools
 from dataclasses import dataclass, field
 
 from endivelug.forwarding.event_stream import EventSplitter
@@ -15,12 +16,22 @@
 CALLER_PATIENCE_GAPS = 8.0
 
 
+_numbers = itertools.count(1)
+
+
+def _new_key() -> str:
+    return str(next(_numbers))
+
+
 @dataclass(slots=True, kw_only=True)
 class Call:
     """A request with its route and the state of its attempts.
 
     Attributes
     ----------
+    key : str
+        Identity of the call within the process. The id of a request is its caller's
+        choice, and two callers may choose the same.
     target_at : float
         Target time of the first byte or event.
     deadline : float
@@ -74,6 +85,7 @@
     last_event_at: float | None = None
     longest_pause_s: float = 0.0
     events: int = 0
+    key: str = field(default_factory=_new_key)
     splitter: EventSplitter = field(default_factory=EventSplitter)
 
     def record_events(self, count: int, *, now: float) -> None:
--- a/src/endivelug/forwarding/dispatcher.py
+++ b/src/endivelug/forwarding/dispatcher.py
@@ -80,13 +80,13 @@
     async def _wait(
         self, call: Call, *, expires_at: float, returning: bool
     ) -> Placement | NoPlacement:
-        request = call.request.id
+        key = call.key
         future: asyncio.Future[Placement] = asyncio.get_running_loop().create_future()
-        self.waiters[request] = _Waiter(call=call, future=future)
+        self.waiters[key] = _Waiter(call=call, future=future)
         self._has_waiters.set()
         self.queue.add(
             QueuedRequest(
-                request=request,
+                request=key,
                 service=call.service,
                 priority=call.priority,
                 returning=returning,
@@ -111,8 +111,8 @@
                 self._remove_work(call, future.result())
             raise
         finally:
-            self.queue.remove(request)
-            del self.waiters[request]
+            self.queue.remove(key)
+            del self.waiters[key]
 
     def _assign(self) -> None:
         self._scheduled = False
@@ -142,7 +142,7 @@
         self.placer.view.loads.add_work(
             placement.instance.name,
             Work(
-                request=call.request.id,
+                request=call.key,
                 sent_at=self.clock(),
                 uncached_tokens=placement.uncached_tokens,
                 memory_tokens=placement.memory_tokens,
@@ -151,4 +151,4 @@
         )
 
     def _remove_work(self, call: Call, placement: Placement) -> None:
-        self.placer.view.loads.remove_work(placement.instance.name, call.request.id)
+        self.placer.view.loads.remove_work(placement.instance.name, call.key)
--- a/src/endivelug/forwarding/first_bytes.py
+++ b/src/endivelug/forwarding/first_bytes.py
@@ -39,12 +39,12 @@
         """Record the first byte of the response to a call."""
         now = self.clock()
         name, request = placement.instance.name, call.request
-        work = self.view.loads.of(name).work.get(request.id)
+        work = self.view.loads.of(name).work.get(call.key)
         alone = self.view.loads.total(name).requests == 1
         if work is not None and alone and request.prompt_tokens:
             rate = self.placer.prefill_rate(call.service)
             rate.observe(tokens=work.uncached_tokens, seconds=now - work.sent_at)
-        self.view.loads.record_first_byte(name, request.id, now=now)
+        self.view.loads.record_first_byte(name, call.key, now=now)
         self.metrics.record_first_byte(call, now=now)
         if placement.namespace is None:
             return
--- a/src/endivelug/forwarding/forwarder.py
+++ b/src/endivelug/forwarding/forwarder.py
@@ -191,7 +191,7 @@
             name = placement.instance.name
             if self.crash_watch.is_blocked(call):
                 # Blocked while it waited; the next round refuses it.
-                self.view.loads.remove_work(name, call.request.id)
+                self.view.loads.remove_work(name, call.key)
                 self.dispatcher.schedule_assignment()
                 continuation = None
                 continue
@@ -203,7 +203,7 @@
                 outcome = await self.runner.run(call, placement, writer)
                 call.instance = None
             finally:
-                self.view.loads.remove_work(name, call.request.id)
+                self.view.loads.remove_work(name, call.key)
                 self.on_ended(call, placement, outcome)
                 self.dispatcher.schedule_assignment()
             await self.crash_watch.record_outcome(call, placement, outcome)
--- a/src/endivelug/forwarding/instance_load.py
+++ b/src/endivelug/forwarding/instance_load.py
@@ -33,6 +33,8 @@
 
     Attributes
     ----------
+    request : str
+        Key of its call.
     uncached_tokens : int
         Prompt tokens that the engine probably has to prefill.
     memory_tokens : int
--- a/tests/test_late_copies.py
+++ b/tests/test_late_copies.py
@@ -11,7 +11,7 @@
 from endivelug.platform.engine_calls import EngineCalls
 from forwarding_builders import make_instance
 from platform_standins import response_bytes, running_upstream
-from router_process import metrics_port, run_scenario
+from router_process import metrics_port, run_scenario, wait_until
 
 __all__ = ["metrics_port"]
 
@@ -184,3 +184,26 @@
         assert [item.method for item in upstream.exchanges] == ["GET", "POST"]
 
     run_with_pool(scenario)
+
+
+# Guards against calls of two callers that chose the same id and are taken for one: the
+# one that waits first would never be placed, and the work of the other is forgotten.
+def test_calls_whose_ids_collide_are_told_apart(monkeypatch):
+    async def scenario(system):
+        async def slow(exchange):
+            await asyncio.sleep(0.2)
+            await exchange.respond()
+
+        for desk in system.desks:
+            desk.script = slow
+        dispatcher = system.node.dispatcher
+        monkeypatch.setattr(dispatcher, "_must_queue", lambda call: True)
+        tasks = [asyncio.ensure_future(system.request("/look/it")) for _ in range(4)]
+        loads = system.node.view.loads.loads
+        await wait_until(lambda: sum(len(load.work) for load in loads.values()) == 4)
+        found = await asyncio.gather(*tasks)
+        assert [response.status for response in found] == [200] * 4
+        assert not any(load.work for load in loads.values())
+        assert not dispatcher.waiters
+
+    run_scenario(scenario)
