Continue a stream only with an answer of the same kind

What callers would see (reported by operators of other systems, shown here by tests): a stream that had begun and broke off got the text of an error page in its middle, or ended as if it were complete, because the next engine answered with another 2xx or another type. Cause: an attempt that continues a stream checked the status (2xx) and the signature only, and relayed any body as events. Change: the status and the media type must be those of the head that the caller got; otherwise the attempt is lost, and the stream goes on elsewhere or is cut off. Tests: of tests/test_stream_continuations.py, 6 cases fail on the commit before (204, html, problem document, no type, empty, 206); statuses of errors (4 cases) held before and stay as proof.

--- a/src/endivelug/forwarding/attempt.py
+++ b/src/endivelug/forwarding/attempt.py
@@ -200,6 +200,8 @@
             return Failed(head=head, body=body), info
         if not info.signed:
             return Lost(reason="the answer bears no signature"), None
+        if call.head is not None and not _continues(call.head, head):
+            return Lost(reason="the answer does not continue the stream"), None
         call.begun = True
         if call.route.streaming:
             return await self._relay_stream(
@@ -343,6 +345,7 @@
     ) -> None:
         if not call.streaming:
             call.streaming = True
+            call.head = head
             headers = self.wire.caller_headers(head)
             await writer.start(head.status, head.reason, headers)
         if data:
@@ -383,6 +386,10 @@
         return call.deadline - attempt_limits.RESPONSE_MARGIN_S - self.clock()
 
 
+def _continues(begun: ResponseHead, head: ResponseHead) -> bool:
+    """Return whether an answer is of the kind that the caller has begun to get."""
+    return (begun.status, begun.media_type) == (head.status, head.media_type)
+
+
 def _is_event_stream(call: Call, head: ResponseHead) -> bool:
-    content_type = head.get("content-type") or ""
-    return call.streaming or content_type.startswith("text/event-stream")
+    return call.streaming or head.media_type == "text/event-stream"
--- a/src/endivelug/forwarding/calls.py
+++ b/src/endivelug/forwarding/calls.py
@@ -44,6 +44,8 @@
         Instances to which the request is not sent again.
     streaming : bool
         Whether the head of the response has been sent to the caller.
+    head : ResponseHead or None
+        That head.
     continued : bool
         Whether the run was continued from its backup on another engine.
     instance : str or None
@@ -75,6 +77,7 @@
     sends: int = 0
     excluded_instances: set[str] = field(default_factory=set)
     streaming: bool = False
+    head: ResponseHead | None = None
     continued: bool = False
     instance: str | None = None
     begun: bool = False
--- a/src/endivelug/forwarding/response_parser.py
+++ b/src/endivelug/forwarding/response_parser.py
@@ -45,6 +45,11 @@
                 return value
         return None
 
+    @property
+    def media_type(self) -> str:
+        """Type of the body without parameters, in lower case; empty if not stated."""
+        return (self.get("content-type") or "").partition(";")[0].strip().lower()
+
     @property
     def ends_with_connection(self) -> bool:
         """Whether the body has neither a length nor chunks."""
