Break an attempt whose events come twice

What callers would see: a stream that had begun and broke off got pieces a second time, where the next engine began again from the start in place of the last id. Cause: ids of events were kept for the next continuation, not compared. Change: an event whose id is a number not above the last one breaks the attempt. The events before it in the same read are written first, since the next continuation begins after them; the same order now holds for an event without end. Ids that are no numbers don't count.

--- a/src/endivelug/forwarding/attempt.py
+++ b/src/endivelug/forwarding/attempt.py
@@ -319,14 +319,17 @@
                 case BodyData(data=data):
                     self._report_started(call, placement)
                     events = splitter.feed(data)
-                    if splitter.overflow:
-                        raise UpstreamBroken("an event has no end; look at the engine")
                     if events:
                         call.record_events(len(events), now=self.clock())
                         self.on_events(call)
                         await self._write_response(call, writer, head, b"".join(events))
                         # After the write, which waits for a slow caller.
                         progress_at = self.clock()
+                    # After the write: what was split off counts as delivered.
+                    if splitter.overflow:
+                        raise UpstreamBroken("an event has no end; look at the engine")
+                    if splitter.goes_back:
+                        raise UpstreamBroken("an event came twice; look at the engine")
                     if len(events) > MAX_EVENTS_A_TURN:
                         await asyncio.sleep(len(events) * EVENT_PAUSE_S)
                 case BodyEnd():
--- a/src/endivelug/forwarding/event_stream.py
+++ b/src/endivelug/forwarding/event_stream.py
@@ -22,6 +22,9 @@
         Id of the last complete event that has one, as sent by the engine.
     overflow : bool
         Whether the partial event exceeds ``MAX_EVENT_BYTES``.
+    goes_back : bool
+        Whether an event came whose id is not above the last one; it and the events
+        after it are dropped.
 
     Examples
     --------
@@ -35,6 +38,7 @@
     partial: bytearray = field(default_factory=bytearray)
     last_id: str | None = None
     overflow: bool = False
+    goes_back: bool = False
 
     def feed(self, data: bytes) -> list[bytes]:
         """Add received bytes; return the events that they complete."""
@@ -46,7 +50,11 @@
         for match in _EVENT_END.finditer(self.partial, search_from):
             event = bytes(self.partial[begin : match.end()])
             begin = match.end()
-            self.last_id = _event_id(event) or self.last_id
+            event_id = _event_id(event)
+            self.goes_back = self.goes_back or _goes_back(self.last_id, event_id)
+            if self.goes_back:
+                break
+            self.last_id = event_id or self.last_id
             events.append(event)
         del self.partial[:begin]
         self.overflow = len(self.partial) > MAX_EVENT_BYTES
@@ -55,6 +63,18 @@
     def discard_partial(self) -> None:
         """Discard an event that the engine did not complete."""
         self.partial.clear()
+        self.goes_back = False
+
+
+def _goes_back(last_id: str | None, event_id: str | None) -> bool:
+    """Return whether an id is a number that is not above the last one."""
+    if last_id is None or event_id is None:
+        return False
+    if not (last_id.isdecimal() and event_id.isdecimal()):
+        return False
+    # Compares numbers of any length without converting them.
+    last, new = last_id.lstrip("0"), event_id.lstrip("0")
+    return (len(new), new) <= (len(last), last)
 
 
 def _event_id(event: bytes) -> str | None:
--- a/tests/test_stream_continuations.py
+++ b/tests/test_stream_continuations.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from endivelug.forwarding.event_stream import MAX_EVENT_BYTES, EventSplitter
 from platform_standins import response_bytes
 from router_process import PROMPT, metrics_port, run_scenario
 
@@ -49,6 +50,8 @@
         body(SEALED, "HTTP/1.1 500 X\r\n\r\nerror\n\n"),
         body(SEALED, ""),
         body(STREAM.replace("200 OK", "206 Partial Content"), "id: 3\ndata: x\n\n"),
+        body(STREAM, "id: 1\ndata: piece1\n\nid: 2\ndata: piece2\n\n"),
+        body(STREAM, "id: 2\ndata: piece2\n\nid: 3\ndata: piece3\n\n"),
         body(STREAM, "id: 3\ndata: pie"),
     ],
 )
@@ -75,3 +78,52 @@
         assert response.body == BEGUN + rest
 
     run_scenario(scenario, engines=2)
+
+
+# Guards against an event that comes twice, also within one answer, while those before
+# it are delivered.
+@pytest.mark.parametrize("again", ["3", "03", "1", "0", ""])
+def test_an_event_that_comes_twice_breaks_the_stream(again):
+    rest = "id: 3\ndata: piece3\n\n"
+
+    async def scenario(system):
+        answer = body(STREAM, f"{rest}id: {again}\ndata: again\n\nid: 4\ndata: d\n\n")
+        response = await run_continued(system, answer)
+        assert response.complete == (again == "")
+        assert response.body.startswith(BEGUN + rest.encode())
+        assert (b"again" in response.body) == (again == "")
+
+    run_scenario(scenario, engines=2)
+
+
+# Guards against losing the events that came in one read with the start of an event
+# without end: the next engine continues after them.
+def test_events_before_one_without_end_are_delivered():
+    async def scenario(system):
+        async def script(exchange):
+            await exchange.start_stream()
+            if "last-event-id" in exchange.headers:
+                await exchange.send_event(int(exchange.headers["last-event-id"]) + 1)
+                await exchange.end_stream()
+                return
+            endless = b"id: 2\ndata: " + b"x" * (2 * MAX_EVENT_BYTES)
+            await exchange.send_chunk(b"id: 1\ndata: piece1\n\n" + endless)
+
+        for engine in system.engines:
+            engine.script = script
+        response = await system.request(headers=PROMPT)
+        assert response.complete
+        assert response.body == BEGUN
+
+    run_scenario(scenario, engines=2)
+
+
+# Guards against ids that are no numbers, or have thousands of digits.
+@pytest.mark.parametrize(
+    "ids", [["b", "a"], ["9" * 5000, "1" + "0" * 5000], ["9", "10"]]
+)
+def test_other_ids_do_not_break_the_stream(ids):
+    splitter = EventSplitter()
+    for event_id in ids:
+        assert splitter.feed(f"id: {event_id}\n\n".encode())
+    assert not splitter.goes_back
