Treat nested answers as unusable at the product's programs too

What operators would see: an agent that stops following the list of VMs or probing its upstreams, or a caller without an answer, after one answer that is nested too deeply. The program of the deploy file doesn't use these modules.

--- a/src/endivelug/_sse.py
+++ b/src/endivelug/_sse.py
@@ -97,7 +97,7 @@
                 return None
             data = "\n".join(lines)
             chunk = {} if data == DONE else json.loads(data)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise UpstreamBroken(
                 "received a malformed event; check the engine"
             ) from error
--- a/src/endivelug/table.py
+++ b/src/endivelug/table.py
@@ -246,7 +246,7 @@
                 f"no usable response from the table service ({error}); read the keys "
                 "back"
             ) from error
-        except (OSError, ValueError) as error:
+        except (OSError, ValueError, RecursionError) as error:
             raise TableOutcomeUnknown(
                 f"the table service's response was lost ({error}); read the keys back"
             ) from error
--- a/src/endivelug/upstream_probes.py
+++ b/src/endivelug/upstream_probes.py
@@ -145,7 +145,7 @@
                 return replace(entry, state=DEAD)
             states = {200: LIVE, 503: LEAVING}
             return replace(entry, state=states.get(status, DEAD))
-        except (ValueError, KeyError, TypeError, AttributeError):
+        except (ValueError, KeyError, TypeError, AttributeError, RecursionError):
             self.failures += 1
             return replace(entry, state=DEAD)
         except UpstreamUnreachable:
--- a/src/endivelug/vm_list.py
+++ b/src/endivelug/vm_list.py
@@ -122,7 +122,7 @@
                 return None
             response.rethrow()
             listed = parse_vm_list(json.loads(response.body))
-        except (HTTPClientError, OSError, ValueError) as error:
+        except (HTTPClientError, OSError, ValueError, RecursionError) as error:
             raise VmListUnavailable(
                 f"VM list unavailable ({error}); keep the last one"
             ) from error
