--- a/tests/test_late_copies.py
+++ b/tests/test_late_copies.py
@@ -86,8 +86,7 @@
 # Guards against giving up a request because an upstream refuses it without its id.
 def test_a_refusal_without_an_id_on_a_new_connection_is_believed():
     async def scenario(system):
-        script = RepeatingUpstream(refusal_without_id)
-        (system.desks[0].script,) = [script]
+        script = system.desks[0].script = RepeatingUpstream(refusal_without_id)
         response = await system.request("/a/orders/1")
         assert response.status == 200
         assert script.runs == ["q1"]
