Let parts register shared amounts and gauges

Change: reports carry shared amounts by key, which relays add up as they do loads (shared_amounts, reported_amounts); parts register kinds and gauges. Checked: the simulated network of test_report_exchange compares the sums of shared amounts on all routers after series of faults.

--- a/src/endivelug/forwarding/neighbour.py
+++ b/src/endivelug/forwarding/neighbour.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from endivelug.forwarding.neighbour_sums import Load, RetryCount, SentAmounts
+from endivelug.forwarding.shared_amounts import NO_AMOUNTS, Amounts
 
 # Number of a VM to which the sender of a report has given none: it is a relay, or the
 # sender is not.
@@ -46,9 +47,9 @@
         Whether a report is missing before the last one, so that a full one is needed.
     own_number : int
         Number that it, as the relay of this VM, has given to this VM.
-    stated_loads, stated_retries : dict
+    stated_loads, stated_retries, stated_shared : dict
         Amounts as it stated them. The totals of a relay include those of this VM.
-    sent_loads, sent_retries : SentAmounts
+    sent_loads, sent_retries, sent_shared : SentAmounts
         What this VM has reported to it.
     """
 
@@ -70,9 +71,13 @@
     own_number: int = NO_MEMBER
     stated_loads: dict[str, Load] = field(default_factory=dict)
     stated_retries: dict[str, RetryCount] = field(default_factory=dict)
+    stated_shared: dict[str, Amounts] = field(default_factory=dict)
     sent_loads: SentAmounts[Load] = field(
         default_factory=lambda: SentAmounts(zero=Load())
     )
     sent_retries: SentAmounts[RetryCount] = field(
         default_factory=lambda: SentAmounts(zero=RetryCount())
     )
+    sent_shared: SentAmounts[Amounts] = field(
+        default_factory=lambda: SentAmounts(zero=NO_AMOUNTS)
+    )
--- a/src/endivelug/forwarding/node.py
+++ b/src/endivelug/forwarding/node.py
@@ -21,7 +21,7 @@
 from endivelug.forwarding.dispatcher import Dispatcher
 from endivelug.forwarding.first_bytes import FirstByteRecorder
 from endivelug.forwarding.forwarder import UNREACHABLE_AVOID_S, Forwarder
-from endivelug.forwarding.front_server import FrontServer, Writer
+from endivelug.forwarding.front_server import FrontServer
 from endivelug.forwarding.instances import Instance
 from endivelug.forwarding.loop_watch import LoopWatch
 from endivelug.forwarding.node_metrics import NodeMetrics
@@ -38,8 +38,8 @@
 from endivelug.forwarding.retry_budget import SharedRetryBudget
 from endivelug.forwarding.silence_watch import SilenceWatch
 from endivelug.forwarding.state_sync import StateSync
+from endivelug.forwarding.status_pages import StatusPages
 from endivelug.forwarding.stream_recovery import StreamRecovery
-from endivelug.forwarding.upstream_connection import Headers
 from endivelug.forwarding.vm_join import VmJoin
 from endivelug.forwarding.vm_rows import VmRows
 from endivelug.forwarding.weights_order_sender import OrderGiver
@@ -200,8 +200,10 @@
         self.loop_watch = LoopWatch(clock=self.clock, log=log)
         self.forwarder = self._make_forwarder()
         self.front_server = FrontServer(handler=self.forwarder.handle, log=log)
-        self.readiness_server = FrontServer(handler=self._answer_ready, log=log)
-        self.metrics_server = FrontServer(handler=self._answer_metrics, log=log)
+        self.status_pages = StatusPages(
+            metrics=self.metrics, is_ready=lambda: self.is_ready, log=log
+        )
+        self._add_gauges()
         self.stopping = False
         self.vacant_since = self.clock()
         self.jobs = BackgroundJobs(log=log)
@@ -294,9 +296,10 @@
         await self._shut_down()
 
     def _listen(self) -> None:
-        self.readiness_server.listen(self.settings.ready)
+        self.status_pages.listen(
+            ready=self.settings.ready, metrics=f"{self.settings.ip}:{METRICS_PORT}"
+        )
         self.front_server.listen(self.settings.front)
-        self.metrics_server.listen(f"{self.settings.ip}:{METRICS_PORT}")
 
     def _reload(self) -> None:
         # All settings that can change at run time come from the platform's tables.
@@ -342,34 +345,22 @@
         if not self.view.loads.of(instance.name).work:
             self.view.loads.forget(instance.name)
 
-    async def _answer_ready(
-        self, method: str, target: str, headers: Headers, body: bytes, writer: Writer
-    ) -> None:
-        status = 200 if self.is_ready else 503
-        await writer.start(status, "", [], b"")
-
-    async def _answer_metrics(
-        self, method: str, target: str, headers: Headers, body: bytes, writer: Writer
-    ) -> None:
-        configuration = self.view.configuration
-        values = {
-            "store_connected": float(self.sync.connected),
-            "ready": float(self.is_ready),
-            "peers": float(self.peers.vms - 1),
-            "in_progress": float(len(self.front_server.tasks)),
-            "waiting": float(len(self.dispatcher.waiters)),
-            "configuration_version": float(configuration.version)
-            if configuration
-            else 0.0,
-            "lease_held": float(self.lease.remaining_s(boot_clock()) > 0),
-            "log_lines_dropped": float(self.log.dropped_total),
-            "prompts_blocked": float(len(self.suspects.blocked(now=self.clock()))),
-            "connections_opened": float(self.pool.opened_total),
-            "loop_late_seconds_max": self.loop_watch.longest_s,
-            "callers_left_unserved": float(self.front_server.left_total),
-        }
-        page = self.metrics.page(values)
-        await writer.start(200, "", [("Content-Type", "text/plain")], page)
+    def _add_gauges(self) -> None:
+        gauges = self.metrics.gauges
+        gauges["store_connected"] = lambda: self.sync.connected
+        gauges["ready"] = lambda: self.is_ready
+        gauges["peers"] = lambda: self.peers.vms - 1
+        gauges["in_progress"] = lambda: len(self.front_server.tasks)
+        gauges["waiting"] = lambda: len(self.dispatcher.waiters)
+        gauges["configuration_version"] = lambda: (
+            self.view.configuration.version if self.view.configuration else 0
+        )
+        gauges["lease_held"] = lambda: self.lease.remaining_s(boot_clock()) > 0
+        gauges["log_lines_dropped"] = lambda: self.log.dropped_total
+        gauges["prompts_blocked"] = lambda: len(self.suspects.blocked(now=self.clock()))
+        gauges["connections_opened"] = lambda: self.pool.opened_total
+        gauges["loop_late_seconds_max"] = lambda: self.loop_watch.longest_s
+        gauges["callers_left_unserved"] = lambda: self.front_server.left_total
 
     async def _shut_down(self) -> None:
         """Release the order lease, finish the requests in progress and close."""
@@ -392,7 +383,6 @@
         await self.peers.close()
         await self.orders.close()
         await self.front_server.close()
-        await self.readiness_server.close()
-        await self.metrics_server.close()
+        await self.status_pages.close()
         self.pool.close()
         self.log.flush()
--- a/src/endivelug/forwarding/node_metrics.py
+++ b/src/endivelug/forwarding/node_metrics.py
@@ -1,5 +1,7 @@
 """Counters and latency histograms of one router, with a bounded number of labels."""
 
+from collections.abc import Callable
+
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
 from endivelug.busiest import BusiestOrganisations
@@ -19,6 +21,12 @@
     ----------
     busiest : BusiestOrganisations
         Selects the organisations that get a label of their own.
+
+    Attributes
+    ----------
+    gauges : dict of str to callable
+        Current values by name, exported as the state gauge; each part of the router
+        registers its own.
     """
 
     def __init__(self, *, busiest: BusiestOrganisations) -> None:
@@ -62,6 +70,7 @@
             "Values of the process by name: dependencies, queue, versions.",
             registry=self.registry,
         )
+        self.gauges: dict[str, Callable[[], float]] = {}
         self.in_progress = 0
         self._routes: set[str] = set()
 
@@ -95,16 +104,10 @@
         labels = {"service": call.service, "reason": reason.name.lower()}
         self.unplaced.inc(labels)
 
-    def page(self, values: dict[str, float]) -> bytes:
-        """Return all metrics in the text format of Prometheus.
-
-        Parameters
-        ----------
-        values : dict of str to float
-            Current values of the process, exported as the state gauge.
-        """
-        for name, value in values.items():
-            self.state.set({"name": name}, value)
+    def page(self) -> bytes:
+        """Return all metrics in the text format of Prometheus."""
+        for name, value in self.gauges.items():
+            self.state.set({"name": name}, float(value()))
         content, _ = render(self.registry, [])
         return content
 
--- a/src/endivelug/forwarding/peer_messages.py
+++ b/src/endivelug/forwarding/peer_messages.py
@@ -9,6 +9,7 @@
 
 from endivelug.forwarding.instance_load import LoadReport
 from endivelug.forwarding.retry_budget import RetryReport
+from endivelug.forwarding.shared_amounts import AmountReport
 
 
 class NoticeKind(StrEnum):
@@ -140,6 +141,8 @@
         Time for which the sender certainly holds the order lease; 0 without it.
     tables : list of TableVersion
         Table versions that have changed.
+    amounts : list of AmountReport
+        Shared amounts; see ``shared_amounts``.
     parts : list of HeldPart
         Changes to cached segments since the last report.
     desired_weights : list of WantedAge
@@ -161,6 +164,7 @@
     tables: list[TableVersion]
     work: list[LoadReport]
     retries: list[RetryReport]
+    amounts: list[AmountReport]
     notices: list[Mark]
     weights: list[EngineWeights]
     parts: list[HeldPart]
@@ -271,6 +275,7 @@
 RECORDS = (
     LoadReport,
     RetryReport,
+    AmountReport,
     Mark,
     EngineWeights,
     HeldPart,
--- a/src/endivelug/forwarding/peer_reports.py
+++ b/src/endivelug/forwarding/peer_reports.py
@@ -23,6 +23,7 @@
 from endivelug.forwarding.refused_callers import RefusedCallers
 from endivelug.forwarding.report_builder import ReportBuilder
 from endivelug.forwarding.retry_budget import SharedRetryBudget
+from endivelug.forwarding.shared_amounts import Amounts, SharedAmountTable
 
 # Longest time for which a peer's notice is valid.
 MAX_NOTICE_S = 5.0
@@ -54,12 +55,14 @@
         *,
         view: ClusterView,
         budget: SharedRetryBudget,
+        shared: SharedAmountTable,
         refused: RefusedCallers,
         builder: ReportBuilder,
         clock: Callable[[], float],
     ) -> None:
         self.view = view
         self.budget = budget
+        self.shared = shared
         self.builder = builder
         self.clock = clock
         self.refused = refused
@@ -103,6 +106,7 @@
         """Set whether the amounts of a neighbour are not passed on to relays."""
         self.view.loads.neighbours.set_relay(vm, is_upstream)
         self.budget.neighbours.set_relay(vm, is_upstream)
+        self.shared.neighbours.set_relay(vm, is_upstream)
 
     def _update_neighbour(self, neighbour: Neighbour, report: RouterReport) -> None:
         now = self.clock()
@@ -162,6 +166,17 @@
         )
         for service, count in retries.items():
             self.budget.neighbours.set(vm, service, count)
+        shared = _changes(
+            self.shared.neighbours,
+            vm,
+            stated=neighbour.stated_shared,
+            changed={item.key: Amounts.of(item.values) for item in report.amounts},
+            full=report.full,
+            sent=neighbour.sent_shared,
+            acknowledged=acknowledged,
+        )
+        for key, values in shared.items():
+            self.shared.neighbours.set(vm, key, values)
 
     def _apply_notices(self, vm: str, notices: list[Mark]) -> None:
         now = self.clock()
--- a/src/endivelug/forwarding/peers.py
+++ b/src/endivelug/forwarding/peers.py
@@ -16,7 +16,6 @@
     FullReportRequest,
     NoticeKind,
     RouterReport,
-    RowsReply,
     RowsRequest,
 )
 from endivelug.forwarding.peer_reports import PeerReportApplier
@@ -32,6 +31,7 @@
 from endivelug.forwarding.report_stream import Standing, segment_changes
 from endivelug.forwarding.retry_budget import SharedRetryBudget
 from endivelug.forwarding.rows_source import RowsSource
+from endivelug.forwarding.shared_amounts import SharedAmountTable
 from endivelug.links import Identity, Link, LinkServer, SyncHandlers
 from endivelug.messages import Failure, Message
 
@@ -94,9 +94,11 @@
             log=log,
         )
         self.max_vms = 1
+        self.shared = SharedAmountTable()
         self.builder = ReportBuilder(
             view=view,
             budget=budget,
+            shared=self.shared,
             lease_remaining_s=lease_remaining_s,
             ordered_engines=ordered_engines,
             clock=clock,
@@ -104,6 +106,7 @@
         self.report_applier = PeerReportApplier(
             view=view,
             budget=budget,
+            shared=self.shared,
             refused=refused,
             builder=self.builder,
             clock=clock,
@@ -122,7 +125,7 @@
             RouterReport: self._apply_report,
             FullReportRequest: self._answer_full_report,
             CrashNews: self.crashes.receive,
-            RowsRequest: self._answer_rows,
+            RowsRequest: lambda link, request: self.rows.answer(request),
         }
         self.targets = LinkTargets(
             identity=identity,
@@ -152,9 +155,9 @@
         )
         self.rounds = ReportRounds(clock=clock)
         view.loads.on_change = self.rounds.note_change
+        self.shared.on_change = self.rounds.note_change
         view.on_version_advanced = self.rounds.announce
         self._roles_checked_at = float("-inf")
-        # Times at which the amounts of neighbours without a link are dropped.
         self._departed: dict[str, float] = {}
 
     async def listen(self, *, host: str, port: int) -> None:
@@ -308,6 +311,7 @@
     def _drop_amounts(self, vm: str) -> None:
         self._departed.pop(vm, None)
         self.view.loads.neighbours.drop(vm)
+        self.shared.neighbours.drop(vm)
 
     def _on_link_open(self, link: Link) -> None:
         vm = link.peer.vm
@@ -390,8 +394,5 @@
         for other in [other for other in self._departed if other != vm]:
             self._drop_amounts(other)
 
-    def _answer_rows(self, link: Link, request: RowsRequest) -> RowsReply:
-        return self.rows.answer(request)
-
     async def _reject_message(self, link: Link, message: Message) -> Message | None:
         return Failure(kind="unknown", remedy="send messages between routers only")
--- a/src/endivelug/forwarding/report_builder.py
+++ b/src/endivelug/forwarding/report_builder.py
@@ -7,13 +7,10 @@
 
 from collections.abc import Callable, Collection
 from dataclasses import replace
-from enum import Enum
 
 from endivelug.forwarding.cluster_view import ClusterView
-from endivelug.forwarding.instance_load import LoadReport
 from endivelug.forwarding.instances import Instance
 from endivelug.forwarding.neighbour import NO_MEMBER
-from endivelug.forwarding.neighbour_sums import Amount, NeighbourSums
 from endivelug.forwarding.peer_messages import (
     EngineWeights,
     HeldPart,
@@ -24,7 +21,9 @@
     WantedAge,
 )
 from endivelug.forwarding.report_stream import PendingNotice, ReportStream, Standing
-from endivelug.forwarding.retry_budget import RetryReport, SharedRetryBudget
+from endivelug.forwarding.reported_amounts import Audience, ReportedAmounts
+from endivelug.forwarding.retry_budget import SharedRetryBudget
+from endivelug.forwarding.shared_amounts import SharedAmountTable
 
 # Observed weights are reported for this long. After that the registry lists them,
 # because the engine's next heartbeat carries the new version.
@@ -40,13 +39,6 @@
 EXPIRE_S = 1.0
 
 
-class Audience(Enum):
-    """Neighbours that get the same reports."""
-
-    RELAYS = "relays"
-    MEMBERS = "members"
-
-
 class ReportBuilder:
     """Builder of reports; stores the notices and observed weights of this VM.
 
@@ -73,12 +65,15 @@
         *,
         view: ClusterView,
         budget: SharedRetryBudget,
+        shared: SharedAmountTable,
         lease_remaining_s: Callable[[], float],
         ordered_engines: Callable[[], list[str]],
         clock: Callable[[], float],
     ) -> None:
         self.view = view
         self.budget = budget
+        self.shared = shared
+        self.amounts = ReportedAmounts(view=view, budget=budget, shared=shared)
         self.lease_remaining_s = lease_remaining_s
         self.ordered_engines = ordered_engines
         self.clock = clock
@@ -87,7 +82,6 @@
         self.weights: dict[EngineWeights, tuple[float, bool]] = {}
         self._expire_at = 0.0
         self._orders: dict[str, float] = {}
-        self._own_retries: dict[str, tuple[int, ...]] = {}
 
     def add_notice(
         self,
@@ -140,14 +134,16 @@
     def collect_changes(self) -> None:
         """Move what has changed since the last call to the streams."""
         self._collect_orders()
-        self._collect_retries()
+        self.amounts.collect_retries(now=self.clock())
         if self.clock() >= self._expire_at:
             self._expire(self.clock())
         for stream in self.streams.values():
             stream.loads |= self.view.loads.neighbours.changed
             stream.retries |= self.budget.neighbours.changed
+            stream.shared |= self.shared.neighbours.changed
         self.view.loads.neighbours.changed.clear()
         self.budget.neighbours.changed.clear()
+        self.shared.neighbours.changed.clear()
 
     def build_changes(
         self, audience: Audience, standing: Standing, *, acknowledged: list[int]
@@ -177,8 +173,9 @@
             rows_age_s=float(standing.rows_age_s),
             lease_s=round(self.lease_remaining_s(), 1),
             tables=tables,
-            work=self._loads(audience, stream.loads),
-            retries=self._retries(audience, stream.retries),
+            work=self.amounts.loads(audience, stream.loads),
+            retries=self.amounts.retries(audience, stream.retries, now=now),
+            amounts=self.amounts.amounts(audience, stream.shared),
             notices=[_mark(notice, now) for notice in stream.take_notices()],
             weights=list(stream.weights),
             parts=stream.take_segments(),
@@ -187,6 +184,7 @@
         stream.announced.update(self._observed_announcements())
         stream.loads.clear()
         stream.retries.clear()
+        stream.shared.clear()
         stream.weights.clear()
         return report
 
@@ -202,12 +200,6 @@
         stream, now = self.streams[audience], self.clock()
         self._expire(now)
         members_only = audience is Audience.RELAYS
-        load_keys = self._known_keys(self.view.loads.neighbours, audience)
-        load_keys.update(
-            name for name, load in self.view.loads.loads.items() if any(load.own)
-        )
-        retry_keys = self._known_keys(self.budget.neighbours, audience)
-        retry_keys.update(self.budget.counts)
         return RouterReport(
             sequence=stream.sequence,
             full=True,
@@ -224,8 +216,9 @@
                 TableVersion(table=table, version=version)
                 for table, version in self.view.latest_versions.items()
             ],
-            work=self._loads(audience, load_keys),
-            retries=self._retries(audience, retry_keys),
+            work=self.amounts.all_loads(audience),
+            retries=self.amounts.all_retries(audience, now=now),
+            amounts=self.amounts.all_amounts(audience),
             notices=[
                 _mark(notice, now)
                 for notice, from_relay in self.notices.values()
@@ -257,6 +250,7 @@
             tables=[],
             work=[],
             retries=[],
+            amounts=[],
             notices=[],
             weights=[],
             parts=[],
@@ -280,60 +274,6 @@
             del self._orders[name]
             self.add_notice(name, NoticeKind.ORDER, until=now)
 
-    def _collect_retries(self) -> None:
-        now = self.clock()
-        for service in self.budget.counts:
-            own = self.budget.own(service, now=now)
-            if own != self._own_retries.get(service):
-                self._own_retries[service] = own
-                self.budget.neighbours.changed.add(service)
-
-    def _loads(self, audience: Audience, keys: Collection[str]) -> list[LoadReport]:
-        loads = self.view.loads
-        amounts = {
-            key: self._sum(loads.own(key), loads.neighbours, key, audience)
-            for key in keys
-        }
-        return [
-            LoadReport(
-                instance=key,
-                requests=amount.requests,
-                uncached_tokens=amount.uncached_tokens,
-                memory_tokens=amount.memory_tokens,
-                heard=amount.heard,
-            )
-            for key, amount in amounts.items()
-        ]
-
-    def _retries(self, audience: Audience, keys: Collection[str]) -> list[RetryReport]:
-        now = self.clock()
-        amounts = {
-            key: self._sum(
-                self.budget.own(key, now=now), self.budget.neighbours, key, audience
-            )
-            for key in keys
-        }
-        return [
-            RetryReport(service=key, requests=amount.requests, retries=amount.retries)
-            for key, amount in amounts.items()
-        ]
-
-    def _sum(
-        self, own: Amount, sums: NeighbourSums[Amount], key: str, audience: Audience
-    ) -> Amount:
-        match audience:
-            case Audience.MEMBERS:
-                return own.plus(sums.total(key))
-            case Audience.RELAYS:
-                return own.plus(sums.from_members.get(key, sums.zero))
-
-    def _known_keys(self, sums: NeighbourSums[Amount], audience: Audience) -> set[str]:
-        match audience:
-            case Audience.MEMBERS:
-                return sums.keys()
-            case Audience.RELAYS:
-                return set(sums.from_members)
-
     def _vms(self, audience: Audience) -> int:
         represented = self.budget.represented_vms
         relays = self.budget.neighbours.relays
--- a/src/endivelug/forwarding/report_sender.py
+++ b/src/endivelug/forwarding/report_sender.py
@@ -10,9 +10,11 @@
 from endivelug.forwarding.neighbour import NO_MEMBER, Neighbour
 from endivelug.forwarding.neighbour_sums import RetryCount
 from endivelug.forwarding.peer_messages import RouterReport
-from endivelug.forwarding.report_builder import Audience, ReportBuilder
+from endivelug.forwarding.report_builder import ReportBuilder
 from endivelug.forwarding.report_rounds import HEARTBEAT_S
 from endivelug.forwarding.report_stream import Standing
+from endivelug.forwarding.reported_amounts import Audience
+from endivelug.forwarding.shared_amounts import Amounts
 from endivelug.links import Link
 
 
@@ -154,3 +156,8 @@
         },
         full=report.full,
     )
+    neighbour.sent_shared.record(
+        report.sequence,
+        {item.key: Amounts.of(item.values) for item in report.amounts},
+        full=report.full,
+    )
--- a/src/endivelug/forwarding/report_stream.py
+++ b/src/endivelug/forwarding/report_stream.py
@@ -65,7 +65,7 @@
         Number of the last report.
     sent_at : float
         Time of the last report.
-    loads, retries : set of str
+    loads, retries, shared : set of str
         Keys of the amounts that have changed.
     announced : set of (str, int)
         Announced versions of weights of which the audience knows the age.
@@ -79,6 +79,7 @@
     sent_at: float = float("-inf")
     loads: set[str] = field(default_factory=set)
     retries: set[str] = field(default_factory=set)
+    shared: set[str] = field(default_factory=set)
     notices: deque[PendingNotice] = field(default_factory=deque)
     weights: list[EngineWeights] = field(default_factory=list)
     segments: deque[HeldPart] = field(default_factory=deque)
@@ -90,7 +91,12 @@
     def has_changes(self) -> bool:
         """Whether amounts, notices, weights or segments are waiting to be sent."""
         return bool(
-            self.loads or self.retries or self.notices or self.weights or self.segments
+            self.loads
+            or self.retries
+            or self.shared
+            or self.notices
+            or self.weights
+            or self.segments
         )
 
     def take_notices(self) -> list[PendingNotice]:
@@ -107,6 +113,7 @@
         """Drop everything that waits to be sent, because nobody listens."""
         self.loads.clear()
         self.retries.clear()
+        self.shared.clear()
         self.notices.clear()
         self.weights.clear()
         self.segments.clear()
--- /dev/null
+++ b/src/endivelug/forwarding/status_pages.py
@@ -0,0 +1,47 @@
+"""HTTP servers of one VM for the platform's readiness checks and for its metrics."""
+
+from collections.abc import Callable
+
+from endivelug.forwarding.cluster_view import LogLine
+from endivelug.forwarding.front_server import FrontServer, Writer
+from endivelug.forwarding.node_metrics import NodeMetrics
+from endivelug.forwarding.upstream_connection import Headers
+
+
+class StatusPages:
+    """Answers readiness checks, and requests for the metrics.
+
+    Parameters
+    ----------
+    is_ready : callable
+        Whether the platform should send new connections to this VM.
+    """
+
+    def __init__(
+        self, *, metrics: NodeMetrics, is_ready: Callable[[], bool], log: LogLine
+    ) -> None:
+        self.metrics = metrics
+        self.is_ready = is_ready
+        self.readiness_server = FrontServer(handler=self._answer_ready, log=log)
+        self.metrics_server = FrontServer(handler=self._answer_metrics, log=log)
+
+    def listen(self, *, ready: str, metrics: str) -> None:
+        """Listen on the two addresses, each an IP address and port."""
+        self.readiness_server.listen(ready)
+        self.metrics_server.listen(metrics)
+
+    async def close(self) -> None:
+        """Stop listening and close every connection."""
+        await self.readiness_server.close()
+        await self.metrics_server.close()
+
+    async def _answer_ready(
+        self, method: str, target: str, headers: Headers, body: bytes, writer: Writer
+    ) -> None:
+        await writer.start(200 if self.is_ready() else 503, "", [], b"")
+
+    async def _answer_metrics(
+        self, method: str, target: str, headers: Headers, body: bytes, writer: Writer
+    ) -> None:
+        page = self.metrics.page()
+        await writer.start(200, "", [("Content-Type", "text/plain")], page)
--- a/tests/router_process.py
+++ b/tests/router_process.py
@@ -113,8 +113,8 @@
             await asyncio.gather(*tasks, return_exceptions=True)
             for server in (
                 node.front_server,
-                node.readiness_server,
-                node.metrics_server,
+                node.status_pages.readiness_server,
+                node.status_pages.metrics_server,
             ):
                 await server.close()
             node.pool.close()
--- a/tests/test_forwarding_path.py
+++ b/tests/test_forwarding_path.py
@@ -316,8 +316,8 @@
             sync.cancel()
             for server in (
                 node.front_server,
-                node.readiness_server,
-                node.metrics_server,
+                node.status_pages.readiness_server,
+                node.status_pages.metrics_server,
             ):
                 await server.close()
 
--- a/tests/test_report_exchange.py
+++ b/tests/test_report_exchange.py
@@ -17,6 +17,7 @@
 from endivelug.forwarding.report_sender import ReportSender
 from endivelug.forwarding.report_stream import Standing
 from endivelug.forwarding.retry_budget import SharedRetryBudget
+from endivelug.forwarding.shared_amounts import SharedAmounts, SharedAmountTable
 from endivelug.platform.records import PlatformRecords
 from forwarding_builders import LogRecorder, ManualClock, load_tables
 
@@ -51,11 +52,14 @@
         self.view = ClusterView(records=PlatformRecords(), clock=clock, log=log)
         load_tables(self.view, 7)
         self.budget = SharedRetryBudget(ratio=0.2, slack=10.0, window_s=1e9)
+        self.shared = SharedAmountTable()
+        self.streams = SharedAmounts(kind="streams", table=self.shared)
         self.neighbours = {}
         self.links = {}
         self.builder = ReportBuilder(
             view=self.view,
             budget=self.budget,
+            shared=self.shared,
             lease_remaining_s=lambda: 0.0,
             ordered_engines=lambda: [],
             clock=clock,
@@ -63,6 +67,7 @@
         self.applier = PeerReportApplier(
             view=self.view,
             budget=self.budget,
+            shared=self.shared,
             refused=RefusedCallers(),
             builder=self.builder,
             clock=clock,
@@ -138,6 +143,7 @@
             del router.links[target]
             router.budget.forget(target)
             router.view.loads.neighbours.drop(target)
+            router.shared.neighbours.drop(target)
 
     def deliver(self, *, share=1.0, rng=None):
         for name, router in self.routers.items():
@@ -167,6 +173,11 @@
                 for name, router in self.routers.items()
             }
             assert set(totals.values()) == {expected}, (instance, expected, totals)
+            streams = {
+                router.streams.own(instance).plus(router.streams.others(instance))
+                for router in self.routers.values()
+            }
+            assert len(streams) == 1, (instance, streams)
         vms = {
             1 + sum(router.budget.represented_vms.values())
             for router in self.routers.values()
@@ -175,6 +186,7 @@
 
 
 def change_load(router, rng, running):
+    router.streams.set_own(rng.choice(INSTANCES), [rng.randrange(3), rng.randrange(3)])
     if running and rng.random() < 0.5:
         instance, request = running.pop(rng.randrange(len(running)))
         router.view.loads.remove_work(instance, request)
