Treat an empty list of organisations as one that knows no key

What callers saw: once the last organisation was removed, requests with any key, also one that no configuration ever held, ran. Cause: an empty list was taken for a configuration without any list. Change: only a configuration without the list needs no keys; a value that is no list is rejected. The test that asserted the fault (an empty list has no organisations) is replaced by its opposite. Checked: tests of the records, of the forwarding path and of isolation.

--- a/src/endivelug/platform/records.py
+++ b/src/endivelug/platform/records.py
@@ -216,8 +216,11 @@
 
 
 def _add_organisations(configuration: RoutingConfiguration, tenants: Any) -> None:
-    if not tenants:
+    # A list without entries means that no key is known, not that none is needed.
+    if tenants is None:
         return
+    if not isinstance(tenants, list):
+        raise RecordUnreadable("tenants must be a list")
     configuration.has_organisations = True
     for item in tenants:
         priority = item.get("priority")
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -55,7 +55,17 @@
     assert found.organisations_by_key["k1"].isolated
     assert found.organisations_by_key["k2"].priority is None
     assert "k3" not in found.organisations_by_key
-    assert not configuration(tenants=[]).has_organisations
+
+
+# Guards against a configuration whose last organisation was removed letting every key in.
+def test_an_empty_list_of_organisations_knows_no_key():
+    assert configuration(tenants=[]).has_organisations
+    assert not configuration(tenants=None).has_organisations
+
+
+def test_organisations_that_are_no_list_are_rejected():
+    with pytest.raises(RecordUnreadable):
+        configuration(tenants={"org1": []})
 
 
 # Guards against using malformed registrations, which other programs may have written.
