--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -57,7 +57,7 @@
     assert "k3" not in found.organisations_by_key
 
 
-# Guards against a configuration whose last organisation was removed letting every key in.
+# Guards against letting every key in once the last organisation was removed.
 def test_an_empty_list_of_organisations_knows_no_key():
     assert configuration(tenants=[]).has_organisations
     assert not configuration(tenants=None).has_organisations
