Apply the loads of a report in less processor time

Cause: for each changed load of a report, the total over all neighbours was built twice to see whether the instance had been heard, the sum was replaced in two steps, and an own amount was subtracted also where the sender is no relay of this VM. Change: `NeighbourSums.set` returns the amount before; the change of the total is the change of that one term. A sum replaces a term in one step. `SentAmounts` subtracts only what a relay has acknowledged. `LoadReport` and `RetryReport` are no longer frozen.

--- a/src/endivelug/forwarding/instance_load.py
+++ b/src/endivelug/forwarding/instance_load.py
@@ -53,7 +53,7 @@
     started: bool = False
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
+@dataclass(slots=True, kw_only=True)
 class LoadReport:
     """Requests of one or several VMs at one instance."""
 
@@ -210,9 +210,8 @@
     def apply_changes(self, vm: str, changes: dict[str, Load], *, now: float) -> None:
         """Apply the changed amounts of a neighbour."""
         for instance, amount in changes.items():
-            before = self.neighbours.total(instance).heard
-            self.neighbours.set(vm, instance, amount)
-            if self.neighbours.total(instance).heard > before:
+            before = self.neighbours.set(vm, instance, amount)
+            if amount.heard > before.heard:
                 self.of(instance).heard_by_others_at = now - REPORT_DELAY_S
 
     def remove_work(self, instance: str, request: str) -> None:
@@ -248,8 +247,5 @@
 def load_of_report(report: LoadReport) -> Load:
     """Return the amounts of a report."""
     return Load(
-        requests=report.requests,
-        uncached_tokens=report.uncached_tokens,
-        memory_tokens=report.memory_tokens,
-        heard=report.heard,
+        report.requests, report.uncached_tokens, report.memory_tokens, report.heard
     )
--- a/src/endivelug/forwarding/neighbour.py
+++ b/src/endivelug/forwarding/neighbour.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from endivelug.forwarding.neighbour_sums import Load, RetryCount, SentAmounts
-from endivelug.forwarding.shared_amounts import NO_AMOUNTS, Amounts
+from endivelug.forwarding.shared_amounts import Amounts
 
 # Number of a VM to which the sender of a report has given none: it is a relay, or the
 # sender is not.
@@ -72,12 +72,6 @@
     stated_loads: dict[str, Load] = field(default_factory=dict)
     stated_retries: dict[str, RetryCount] = field(default_factory=dict)
     stated_shared: dict[str, Amounts] = field(default_factory=dict)
-    sent_loads: SentAmounts[Load] = field(
-        default_factory=lambda: SentAmounts(zero=Load())
-    )
-    sent_retries: SentAmounts[RetryCount] = field(
-        default_factory=lambda: SentAmounts(zero=RetryCount())
-    )
-    sent_shared: SentAmounts[Amounts] = field(
-        default_factory=lambda: SentAmounts(zero=NO_AMOUNTS)
-    )
+    sent_loads: SentAmounts[Load] = field(default_factory=SentAmounts)
+    sent_retries: SentAmounts[RetryCount] = field(default_factory=SentAmounts)
+    sent_shared: SentAmounts[Amounts] = field(default_factory=SentAmounts)
--- a/src/endivelug/forwarding/neighbour_sums.py
+++ b/src/endivelug/forwarding/neighbour_sums.py
@@ -44,6 +44,15 @@
             self.heard - other.heard,
         )
 
+    def with_term(self, new: "Load", *, before: "Load") -> "Load":
+        """Return the sum in which one term is replaced."""
+        return Load(
+            self.requests + new.requests - before.requests,
+            self.uncached_tokens + new.uncached_tokens - before.uncached_tokens,
+            self.memory_tokens + new.memory_tokens - before.memory_tokens,
+            self.heard + new.heard - before.heard,
+        )
+
 
 class RetryCount(NamedTuple):
     """Requests to a service and their retries, within the window of the budget."""
@@ -59,12 +68,21 @@
         """Return the difference."""
         return RetryCount(self.requests - other.requests, self.retries - other.retries)
 
+    def with_term(self, new: "RetryCount", *, before: "RetryCount") -> "RetryCount":
+        """Return the sum in which one term is replaced."""
+        return RetryCount(
+            self.requests + new.requests - before.requests,
+            self.retries + new.retries - before.retries,
+        )
+
 
 class _Summable(Protocol):
     def plus(self, other: Self, /) -> Self: ...
 
     def minus(self, other: Self, /) -> Self: ...
 
+    def with_term(self, new: Self, /, *, before: Self) -> Self: ...
+
 
 Amount = TypeVar("Amount", bound=_Summable)
 
@@ -107,23 +125,24 @@
         """Return the keys that any neighbour reports."""
         return self.from_members.keys() | self.from_relays.keys()
 
-    def set(self, vm: str, key: str, amount: Amount) -> None:
-        """Set the amount of a neighbour."""
+    def set(self, vm: str, key: str, amount: Amount) -> Amount:
+        """Set the amount of a neighbour; return the amount before."""
         known = self.amounts.setdefault(vm, {})
         before = known.get(key, self.zero)
         if amount == before:
-            return
+            return before
         if amount == self.zero:
             del known[key]
         else:
             known[key] = amount
         sums = self.from_relays if vm in self.relays else self.from_members
-        total = sums.get(key, self.zero).plus(amount).minus(before)
+        total = sums.get(key, self.zero).with_term(amount, before=before)
         if total == self.zero:
             sums.pop(key, None)
         else:
             sums[key] = total
         self.changed.add(key)
+        return before
 
     def set_relay(self, vm: str, is_relay: bool) -> None:
         """Move the amounts of a neighbour whose role has changed."""
@@ -152,15 +171,14 @@
 
     Examples
     --------
-    >>> sent = SentAmounts(zero=Load())
+    >>> sent: SentAmounts[Load] = SentAmounts()
     >>> sent.record(1, {"e1": Load(requests=1)}, full=True)
     >>> sent.record(2, {"e1": Load(requests=3)}, full=False)
-    >>> sorted(sent.acknowledge(1)), sent.amount("e1").requests
-    (['e1'], 1)
+    >>> sorted(sent.acknowledge(1)), sent.subtract("e1", Load(requests=5)).requests
+    (['e1'], 4)
     """
 
-    def __init__(self, *, zero: Amount) -> None:
-        self.zero = zero
+    def __init__(self) -> None:
         self._acknowledged: dict[str, Amount] = {}
         self._reports: deque[tuple[int, dict[str, Amount], bool]] = deque()
 
@@ -180,6 +198,7 @@
             self._acknowledged.update(amounts)
         return changed
 
-    def amount(self, key: str) -> Amount:
-        """Return the acknowledged amount of a key."""
-        return self._acknowledged.get(key, self.zero)
+    def subtract(self, key: str, total: Amount) -> Amount:
+        """Return a relay's total of a key without the acknowledged amount."""
+        own = self._acknowledged.get(key)
+        return total if own is None else total.minus(own)
--- a/src/endivelug/forwarding/peer_reports.py
+++ b/src/endivelug/forwarding/peer_reports.py
@@ -283,4 +283,4 @@
         stated.clear()
     stated.update(changed)
     keys |= sent.acknowledge(acknowledged)
-    return {key: stated.get(key, sums.zero).minus(sent.amount(key)) for key in keys}
+    return {key: sent.subtract(key, stated.get(key, sums.zero)) for key in keys}
--- a/src/endivelug/forwarding/retry_budget.py
+++ b/src/endivelug/forwarding/retry_budget.py
@@ -48,7 +48,7 @@
         return self.sum
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
+@dataclass(slots=True, kw_only=True)
 class RetryReport:
     """Requests and retries of one or several VMs to one service in the window."""
 
--- a/src/endivelug/forwarding/shared_amounts.py
+++ b/src/endivelug/forwarding/shared_amounts.py
@@ -42,6 +42,10 @@
         """Return the difference."""
         return self.of(a - b for a, b in zip_longest(self, other, fillvalue=0))
 
+    def with_term(self, new: "Amounts", *, before: "Amounts") -> "Amounts":
+        """Return the sum in which one term is replaced."""
+        return self.plus(new).minus(before)
+
 
 NO_AMOUNTS = Amounts()
 
