Look a prompt up only where a call fits, and once for each placement

Cause: a call that waits is placed again after every report and every ended request. Each placement weighed up to three samples of engines, and for each looked up what every engine of the service caches of the prompt, also if all engines of the sample were full. Change: a sample whose engines all lack a slot or memory is skipped before the look-up, with the same reasons as before. The look-up is made once for all samples, and an engine that caches nothing of the prompt is skipped before its record is built.

--- a/src/endivelug/forwarding/cache_lookup.py
+++ b/src/endivelug/forwarding/cache_lookup.py
@@ -51,6 +51,10 @@
                 )
             )
         for other in self.view.registry.of_service(call.service):
+            tokens = cached(other.name, namespace=namespace, segments=segments)
+            # Most engines have nothing of a prompt.
+            if not tokens:
+                continue
             load = self.view.loads.of(other.name)
             if load.silent or now < load.avoid_until:
                 continue
@@ -59,7 +63,7 @@
                     address=other.address,
                     data_centre=other.data_centre,
                     mbps=limits.link_mbps,
-                    tokens=cached(other.name, namespace=namespace, segments=segments),
+                    tokens=tokens,
                 )
             )
         return sources
--- a/src/endivelug/forwarding/engine_candidates.py
+++ b/src/endivelug/forwarding/engine_candidates.py
@@ -15,7 +15,7 @@
 )
 from endivelug.forwarding.cluster_view import ClusterView
 from endivelug.forwarding.copy_sources import CopySource, CopySources
-from endivelug.forwarding.engine_choice import EngineState
+from endivelug.forwarding.engine_choice import EngineState, lacking_capacity
 from endivelug.forwarding.instance_load import InstanceLoad
 from endivelug.forwarding.instances import Instance
 from endivelug.forwarding.routes import EngineLimits
@@ -177,6 +177,26 @@
                 wanted.add(engine)
         return wanted
 
+    def lacking_everywhere(
+        self, call: Call, limits: EngineLimits, engines: list[UsableEngine]
+    ) -> Counter[WaitReason] | None:
+        """Return what each engine lacks for a call, or None if any has capacity."""
+        request = call.request
+        lacking: Counter[WaitReason] = Counter()
+        for item in engines:
+            total = self.view.loads.total(item.instance.name)
+            reason = lacking_capacity(
+                requests=total.requests,
+                memory_tokens=total.memory_tokens,
+                slots=limits.slots,
+                cache_tokens=limits.cache_tokens,
+                needed_tokens=request.prompt_tokens + request.output_tokens,
+            )
+            if reason is None:
+                return None
+            lacking[reason] += 1
+        return lacking
+
     def candidate(
         self, call: Call, item: UsableEngine, namespace: str, sources: CopySources
     ) -> Candidate:
--- a/src/endivelug/forwarding/engine_choice.py
+++ b/src/endivelug/forwarding/engine_choice.py
@@ -146,17 +146,32 @@
     return engine.slowdown * (BASE_LATENCY_S + prefill_s) + fetch_s, uncached_tokens
 
 
-def lacking_capacity(engine: EngineState, prompt: Prompt) -> WaitReason | None:
-    """Return whether the engine lacks a free slot or memory for the request.
+def lacking_capacity(
+    *,
+    requests: int,
+    memory_tokens: int,
+    slots: int,
+    cache_tokens: int,
+    needed_tokens: int,
+) -> WaitReason | None:
+    """Return whether an engine lacks a free slot or memory for a request.
 
     An idle engine accepts any request.
+
+    Parameters
+    ----------
+    requests, memory_tokens : int
+        Running requests and their reserved memory.
+    slots, cache_tokens : int
+        Limits of the engine.
+    needed_tokens : int
+        Tokens of the prompt and the output of the request.
     """
-    if engine.requests == 0:
+    if requests == 0:
         return None
-    if engine.requests >= engine.slots:
+    if requests >= slots:
         return WaitReason.NO_SLOT
-    needed_tokens = prompt.prompt_tokens + prompt.output_tokens
-    if engine.memory_tokens + needed_tokens > MAX_MEMORY_SHARE * engine.cache_tokens:
+    if memory_tokens + needed_tokens > MAX_MEMORY_SHARE * cache_tokens:
         return WaitReason.NO_MEMORY
     return None
 
@@ -197,7 +212,13 @@
     best_blocked_cost = float("inf")
     blocked: Counter[WaitReason] = Counter()
     for engine in engines:
-        reason = lacking_capacity(engine, prompt)
+        reason = lacking_capacity(
+            requests=engine.requests,
+            memory_tokens=engine.memory_tokens,
+            slots=engine.slots,
+            cache_tokens=engine.cache_tokens,
+            needed_tokens=prompt.prompt_tokens + prompt.output_tokens,
+        )
         if reason is None and engine.prefilling_elsewhere:
             reason = WaitReason.PREFILLING
         if reason is not None:
--- a/src/endivelug/forwarding/placement.py
+++ b/src/endivelug/forwarding/placement.py
@@ -194,8 +194,15 @@
         blocked: Counter[WaitReason],
     ) -> Placement | NoPlacement:
         usable = self.engines.usable_engines(call, candidates, blocked)
+        sources: dict[str, CopySources] = {}
         for sample in self.engines.samples(call, limits, usable):
-            result = self._place_on(call, limits, sample)
+            # At peak load most engines are full, and waiting calls are tried again many
+            # times a second: their prompt is looked up only where there is room.
+            lacking = self.engines.lacking_everywhere(call, limits, sample)
+            if lacking is not None:
+                blocked.update(lacking)
+                continue
+            result = self._place_on(call, limits, sample, sources)
             if isinstance(result, Placement):
                 return result
             blocked.update(result.reasons)
@@ -203,16 +210,25 @@
         return NoPlacement()
 
     def _place_on(
-        self, call: Call, limits: EngineLimits, engines: list[UsableEngine]
+        self,
+        call: Call,
+        limits: EngineLimits,
+        engines: list[UsableEngine],
+        sources: dict[str, CopySources],
     ) -> Placement | NoPlacement:
-        """Return the placement on the best of some engines."""
+        """Return the placement on the best of some engines.
+
+        Parameters
+        ----------
+        sources : dict of str to CopySources
+            Where the prompt is cached, by namespace; missing ones are added.
+        """
         request = call.request
         preferred = self.engines.preferred_engine(
             call, [item.instance for item in engines]
         )
         states: list[EngineState] = []
         by_name: dict[str, Candidate] = {}
-        sources: dict[str, CopySources] = {}
         for item in engines:
             namespace = self.engines.namespace(call, item.version)
             if namespace not in sources:
