Send nothing to an upstream until the time that it states in a 503

Cause: a 503 with Retry-After was treated like any refusal: the upstream was avoided for 0.3 s by all VMs, and got requests again while it still wanted none from this VM. Change: the adapter decodes the time; each VM stores the deadline of an instance in its load, and the placement skips the instance until then (wait reason RETRY_LATER). The other VMs are not told, because the upstream asked this one. A request for which every upstream stated a time after its target is refused at once with that time. Heads of responses are recorded in FirstByteRecorder, which the attempt calls.

--- a/src/endivelug/forwarding/attempt.py
+++ b/src/endivelug/forwarding/attempt.py
@@ -62,6 +62,8 @@
     on_started : callable
         Called with the call and its placement at the first byte of a successful
         response.
+    on_head : callable
+        Called with the call, its placement and what the head of any response states.
     on_events : callable
         Called with the call after events of its stream have arrived.
     is_blocked : callable
@@ -77,6 +79,7 @@
         view: ClusterView,
         clock: Callable[[], float],
         on_started: Callable[[Call, Placement], None],
+        on_head: Callable[[Call, Placement, ResponseInfo], None],
         on_events: Callable[[Call], None],
         is_blocked: Callable[[Call], bool],
     ) -> None:
@@ -85,6 +88,7 @@
         self.view = view
         self.clock = clock
         self.on_started = on_started
+        self.on_head = on_head
         self.on_events = on_events
         self.is_blocked = is_blocked
 
@@ -175,12 +179,7 @@
         """Return the outcome, and the response info if the connection is reusable."""
         head = await self._read_head(call, placement, connection)
         info = self.wire.response_info(head, instance=placement.instance.name)
-        name = placement.instance.name
-        self.view.loads.record_byte(name, now=self.clock())
-        if info.weights is not None and call.request.model is not None:
-            self.view.observe_weights(
-                placement.instance, call.request.model, info.weights
-            )
+        self.on_head(call, placement, info)
         if not info.identified and len(connection.carried) > 1:
             # It may be a late copy of the answer to an earlier request.
             return Lost(reason="an error without an id on a used connection"), None
--- a/src/endivelug/forwarding/cluster_view.py
+++ b/src/endivelug/forwarding/cluster_view.py
@@ -368,6 +368,7 @@
 
     def _forget_instance(self, instance: Instance) -> None:
         self.caches.remove_cache(instance.name)
+        self.loads.record_replaced(instance.name)
         for key in [key for key in self.observed if key[0] == instance.incarnation]:
             del self.observed[key]
         self.on_instance_removed(instance)
--- a/src/endivelug/forwarding/dispatcher.py
+++ b/src/endivelug/forwarding/dispatcher.py
@@ -23,7 +23,7 @@
     """A waiting call and the future that receives its placement."""
 
     call: Call
-    future: asyncio.Future[Placement]
+    future: asyncio.Future[Placement | NoPlacement]
 
 
 class Dispatcher:
@@ -49,6 +49,8 @@
             if isinstance(placement, Placement):
                 self.add_work(call, placement)
                 return placement
+            if _is_known_late(call, placement, expires_at):
+                return placement
         return await self._wait(call, expires_at=expires_at, returning=returning)
 
     def schedule_assignment(self) -> None:
@@ -81,7 +83,9 @@
         self, call: Call, *, expires_at: float, returning: bool
     ) -> Placement | NoPlacement:
         key = call.key
-        future: asyncio.Future[Placement] = asyncio.get_running_loop().create_future()
+        future: asyncio.Future[Placement | NoPlacement] = (
+            asyncio.get_running_loop().create_future()
+        )
         self.waiters[key] = _Waiter(call=call, future=future)
         self._has_waiters.set()
         self.queue.add(
@@ -108,7 +112,9 @@
             if future.done() and not future.cancelled() and not future.exception():
                 # The placement was set in the same turn of the loop in which the caller
                 # disconnected.
-                self._remove_work(call, future.result())
+                placement = future.result()
+                if isinstance(placement, Placement):
+                    self._remove_work(call, placement)
             raise
         finally:
             self.queue.remove(key)
@@ -130,6 +136,9 @@
                     waiter.future.set_exception(error)
                     continue
                 if isinstance(placement, NoPlacement):
+                    if _is_known_late(waiter.call, placement, waiting.expires_at):
+                        waiter.future.set_result(placement)
+                        continue
                     failed += 1
                     if failed >= MAX_FAILED_PLACEMENTS:
                         break
@@ -152,3 +161,10 @@
 
     def _remove_work(self, call: Call, placement: Placement) -> None:
         self.placer.view.loads.remove_work(placement.instance.name, call.key)
+
+
+def _is_known_late(call: Call, refused: NoPlacement, expires_at: float) -> bool:
+    """Return whether no instance will take a call in time, by what they stated."""
+    if refused.retry_at is None:
+        return False
+    return refused.retry_at >= min(call.target_at, expires_at)
--- a/src/endivelug/forwarding/first_bytes.py
+++ b/src/endivelug/forwarding/first_bytes.py
@@ -1,4 +1,8 @@
-"""Records the first byte of each response: load, metrics and cached segments."""
+"""Records the head and the first byte of each response.
+
+The head of any response tells that the upstream lives, which weights it has and what it
+asks for; the first byte of a successful one changes load, metrics and cached segments.
+"""
 
 from collections.abc import Callable
 
@@ -7,6 +11,7 @@
 from endivelug.forwarding.cluster_view import ClusterView
 from endivelug.forwarding.node_metrics import NodeMetrics
 from endivelug.forwarding.placement import Placement, Placer
+from endivelug.forwarding.requests import ResponseInfo
 
 
 class FirstByteRecorder:
@@ -35,6 +40,14 @@
         self.on_cached = on_cached
         self.clock = clock
 
+    def record_head(self, call: Call, placement: Placement, info: ResponseInfo) -> None:
+        """Record what the head of a response states, also that of a refusal."""
+        instance, model = placement.instance, call.request.model
+        self.view.loads.record_byte(instance.name, now=self.clock())
+        if info.weights is not None and model is not None:
+            self.view.observe_weights(instance, model, info.weights)
+        self.placer.pace.record_head(instance, info)
+
     def record(self, call: Call, placement: Placement) -> None:
         """Record the first byte of the response to a call."""
         now = self.clock()
--- a/src/endivelug/forwarding/forwarder.py
+++ b/src/endivelug/forwarding/forwarder.py
@@ -186,7 +186,9 @@
             placement = continuation or await self._place(call)
             if isinstance(placement, NoPlacement):
                 self.recorder.metrics.record_unplaced(call, placement.main_reason)
-                await self._fail(call, writer, failure, str(placement))
+                await self._fail(
+                    call, writer, failure, str(placement), retry_at=placement.retry_at
+                )
                 return
             name = placement.instance.name
             if self.crash_watch.is_blocked(call):
@@ -261,8 +263,12 @@
         name = placement.instance.name
         load = self.view.loads.of(name)
         match outcome:
-            case NotRun(other_instance=other_instance):
-                self.avoid(name, MOVED_AVOID_S if other_instance else REFUSED_AVOID_S)
+            case NotRun(other_instance=True):
+                self.avoid(name, MOVED_AVOID_S)
+            case NotRun():
+                # An upstream that stated when to try again has asked this VM only.
+                if self.clock() >= load.paused_until:
+                    self.avoid(name, REFUSED_AVOID_S)
             case NotSent():
                 self.avoid(name, UNREACHABLE_AVOID_S)
             case Lost() | Failed():
@@ -299,11 +305,14 @@
         reason: str,
         *,
         retry_after_s: float | None = None,
+        retry_at: float | None = None,
     ) -> None:
         """Send the error response of an undelivered call, or abort its stream.
 
         Parameters
         ----------
+        retry_at : float or None
+            Time before which no upstream will take the call, if that is known.
         retry_after_s : float or None
             Time after which a call that was not sent may succeed, if it is known.
         """
@@ -325,7 +334,7 @@
             )
         else:
             if retry_after_s is None:
-                retry_after_s = self._retry_after_s()
+                retry_after_s = self._retry_after_s(retry_at)
                 self._record_refusal(call, retry_after_s)
             self.recorder.record_undelivered(
                 call, "not-run", reason, retry_after_s=retry_after_s
@@ -354,8 +363,11 @@
         self.refused.record_refusal(digest, retry_at=now + retry_after_s, now=now)
         self.on_refused(digest, retry_after_s)
 
-    def _retry_after_s(self) -> float:
-        return RETRY_AFTER_MIN_S + self.rng.random() * RETRY_AFTER_JITTER_S
+    def _retry_after_s(self, earliest: float | None = None) -> float:
+        known_s = 0.0 if earliest is None else earliest - self.clock()
+        return (
+            max(RETRY_AFTER_MIN_S, known_s) + self.rng.random() * RETRY_AFTER_JITTER_S
+        )
 
     async def _send_error(
         self,
--- a/src/endivelug/forwarding/instance_load.py
+++ b/src/endivelug/forwarding/instance_load.py
@@ -76,6 +76,8 @@
         Sum of these requests.
     avoid_until : float
         Time until which the instance gets no requests, because it refused or failed.
+    paused_until : float
+        Time until which the instance wants no requests from this VM.
     orders : dict of str to float
         Expiry times of the orders in progress, by the VM that told of the order.
     silent : bool
@@ -100,6 +102,7 @@
     work: dict[str, Work] = field(default_factory=dict)
     own: Load = NO_LOAD
     avoid_until: float = 0.0
+    paused_until: float = 0.0
     orders: dict[str, float] = field(default_factory=dict)
     silent: bool = False
     unreachable: bool = False
@@ -126,6 +129,8 @@
             return WaitReason.SILENT
         if self.is_ordered(now=now):
             return WaitReason.ORDERED
+        if now < self.paused_until:
+            return WaitReason.RETRY_LATER
         if now < self.avoid_until:
             return WaitReason.AVOIDED
         return None
@@ -226,6 +231,12 @@
         """Return whether this VM has a request at any instance."""
         return any(load.work for load in self.loads.values())
 
+    def record_replaced(self, instance: str) -> None:
+        """Drop what an incarnation that has been replaced asked for."""
+        load = self.loads.get(instance)
+        if load is not None:
+            load.paused_until = 0.0
+
     def forget(self, instance: str) -> None:
         """Remove the load of an instance that no longer exists."""
         if self.loads.pop(instance, None) is not None:
--- a/src/endivelug/forwarding/node.py
+++ b/src/endivelug/forwarding/node.py
@@ -238,6 +238,7 @@
             view=self.view,
             clock=self.clock,
             on_started=self.first_bytes.record,
+            on_head=self.first_bytes.record_head,
             on_events=self.crash_watch.record_events,
             is_blocked=self.crash_watch.is_blocked,
         )
--- a/src/endivelug/forwarding/placement.py
+++ b/src/endivelug/forwarding/placement.py
@@ -28,6 +28,7 @@
 )
 from endivelug.forwarding.instance_load import InstanceLoad
 from endivelug.forwarding.instances import Instance
+from endivelug.forwarding.pace.upstream_pace import UpstreamPace
 from endivelug.forwarding.prompt_cache import PromptSegment
 from endivelug.forwarding.routes import EngineLimits, Service
 from endivelug.forwarding.run_backup import BackupEngine, choose_backup, should_back_up
@@ -37,6 +38,8 @@
 # No request is sent to an engine with outdated weights within this time before the
 # limit after which no request may start on them.
 OLD_WEIGHTS_MARGIN_S = 2.0
+# Instances that are blocked for these reasons never take the same call later.
+LASTING_REASONS = frozenset({WaitReason.EXCLUDED, WaitReason.NO_MODEL})
 # Fraction of an upstream's connection limit that all VMs use together.
 CONNECTION_SHARE = 0.9
 
@@ -93,6 +96,8 @@
     ----------
     fleet : Fleet
         Size and traffic of all VMs; the owner keeps it up to date.
+    pace : UpstreamPace
+        What the upstreams stated, and how they respond.
     """
 
     def __init__(
@@ -109,6 +114,7 @@
         self.clock = clock
         self.rates: dict[str, PrefillRate] = {}
         self.fleet = Fleet()
+        self.pace = UpstreamPace(view=view, clock=clock)
         self.lookup = CacheLookup(view=view, clock=clock)
         self.engines = EngineCandidates(
             view=view,
@@ -142,8 +148,22 @@
             result = self._place_plain(candidates)
         if isinstance(result, NoPlacement):
             result.reasons.update(blocked)
+            result.retry_at = self._retry_at(call, result)
         return result
 
+    def _retry_at(self, call: Call, result: NoPlacement) -> float | None:
+        """Return when the first instance may take a call, if all stated a time."""
+        blocking = {reason for reason, count in result.reasons.items() if count}
+        if blocking - LASTING_REASONS != {WaitReason.RETRY_LATER}:
+            return None
+        loads = self.view.loads
+        return min(
+            loads.of(instance.name).paused_until
+            for instance in self.view.registry.of_service(call.service)
+            if instance.name not in call.excluded_instances
+            and loads.of(instance.name).paused_until > self.clock()
+        )
+
     def _available_instances(
         self, call: Call, service: Service, blocked: Counter[WaitReason]
     ) -> list[tuple[Instance, InstanceLoad]]:
--- a/src/endivelug/forwarding/requests.py
+++ b/src/endivelug/forwarding/requests.py
@@ -104,6 +104,12 @@
         Whether an instance other than the intended one responded.
     identified : bool
         Whether the response names the request to which it belongs.
+    retry_after_s : float or None
+        Time for which a refusing upstream wants no requests from this VM.
+    invalid_retry_after : str or None
+        Beginning of the stated time, if it cannot be used.
+    leaving : bool
+        Whether the upstream states that it is about to stop.
     """
 
     not_run: bool
@@ -112,6 +118,9 @@
     idle_s: float | None
     other_instance: bool = False
     identified: bool = True
+    retry_after_s: float | None = None
+    invalid_retry_after: str | None = None
+    leaving: bool = False
 
 
 class WireFormat(Protocol):
--- a/src/endivelug/forwarding/wait_reasons.py
+++ b/src/endivelug/forwarding/wait_reasons.py
@@ -16,6 +16,8 @@
         The instance sends nothing to any VM.
     AVOIDED : str
         The instance refused or failed requests just now.
+    RETRY_LATER : str
+        The instance refused a request and stated when to try again.
     ORDERED : str
         The instance loads new weights.
     OUTDATED : str
@@ -39,6 +41,7 @@
     NOT_REGISTERED = "no instance is registered"
     SILENT = "silent"
     AVOIDED = "refused or failed just now"
+    RETRY_LATER = "asked to be retried later"
     ORDERED = "loads new weights"
     OUTDATED = "weights too old"
     NO_MODEL = "does not serve the model"
@@ -59,6 +62,8 @@
     ----------
     reasons : Counter of WaitReason
         Number of instances by the reason.
+    retry_at : float or None
+        Time before which no instance will take the call, if that is known.
 
     Examples
     --------
@@ -68,6 +73,7 @@
     """
 
     reasons: Counter[WaitReason] = field(default_factory=Counter)
+    retry_at: float | None = None
 
     def __str__(self) -> str:
         """Return the reasons in words, the most frequent first."""
--- a/src/endivelug/platform/header_format.py
+++ b/src/endivelug/platform/header_format.py
@@ -52,6 +52,9 @@
 )
 # Numbers with more digits are not exact for most readers.
 MAX_NUMBER_DIGITS = 15
+# Longest part of an unusable value that is kept for the log.
+MAX_LOGGED_VALUE = 40
+_SECONDS = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?")
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d+)", re.IGNORECASE)
 
 
@@ -131,6 +134,10 @@
         responder = head.get("x-instance-id")
         weights = head.get("x-weight-versions")
         idle = _KEEP_ALIVE_TIMEOUT.search(head.get("keep-alive") or "")
+        # What another instance at the address states does not concern this one.
+        own = responder in (None, instance) and head.status != 421
+        retry_after = head.get("retry-after") if own and head.status == 503 else None
+        retry_after_s = _seconds(retry_after)
         return ResponseInfo(
             not_run=head.status == 421 or head.get("x-not-executed") is not None,
             signed=head.get("x-response-seal") is not None,
@@ -138,6 +145,11 @@
             idle_s=float(idle[1]) if idle else None,
             other_instance=head.status == 421 and responder not in (None, instance),
             identified=head.get("x-request-id") is not None,
+            retry_after_s=retry_after_s,
+            invalid_retry_after=retry_after[:MAX_LOGGED_VALUE]
+            if retry_after is not None and retry_after_s is None
+            else None,
+            leaving=own and (head.get("server-leaving") or "").strip() == "1",
         )
 
     def caller_headers(self, head: ResponseHead) -> Headers:
@@ -186,6 +198,13 @@
     return int(text)
 
 
+def _seconds(text: str | None) -> float | None:
+    """Return the seconds in a header, or None if it is no plain decimal number."""
+    if text is None or not _SECONDS.fullmatch(text.strip()):
+        return None
+    return float(text)
+
+
 def _connection_names(values: dict[str, str]) -> set[str]:
     """Return the names of the headers that the ``Connection`` header lists."""
     return {
--- a/tests/test_platform_boundary.py
+++ b/tests/test_platform_boundary.py
@@ -9,6 +9,7 @@
 PLATFORM_NAMES = re.compile(
     r"X-(Expect-Instance|Expect-Version|Cache-Salt|Kv-\w+|Credential|Prompt-Prefix|"
     r"Token-Usage|Deadline-Ms|Response-Seal|Not-Executed|Weight-Versions|Tenant)"
+    r"|Server-Leaving"
     r"|rows-(tx|get|feed|parts)|blob-(put|get|drop|list)|kv-(events|list|move)"
     r"|coldRemainingMs|trafficSplit|targetLatencyMs|kvStoreAddr|kvCapacityTokens"
     r"|retryBudgetRatio|listenAddrs|internalPorts|ENDIVELUG_NODE_FILE",
