Send no new requests to an upstream that states that it is leaving

Cause: an upstream's Server-Leaving: 1 was ignored, so it got requests until its registration said draining. The registry of instances keeps the statement by start and shows the instance as draining whatever its entry says; a new start clears it. Its cache stays a copy source until it is gone; no run is continued there. Answers are passed on unchanged.

--- a/src/endivelug/forwarding/cache_lookup.py
+++ b/src/endivelug/forwarding/cache_lookup.py
@@ -50,7 +50,7 @@
                     store=True,
                 )
             )
-        for other in self.view.registry.of_service(call.service):
+        for other in self.view.registry.cache_holders(call.service):
             load = self.view.loads.of(other.name)
             if load.silent or now < load.avoid_until:
                 continue
--- a/src/endivelug/forwarding/cluster_view.py
+++ b/src/endivelug/forwarding/cluster_view.py
@@ -36,6 +36,10 @@
 MAX_LOGGED_REASON = 200
 
 
+def _ignore(*changed: object) -> None:
+    """Stand for a callback that nobody has set."""
+
+
 @dataclass(slots=True, kw_only=True)
 class CachedRow:
     """A row with its decoded record.
@@ -81,11 +85,10 @@
         self.clock = clock
         self.log = log
         self.on_change = on_change
-        self.on_instance_removed: Callable[[Instance], None] = lambda instance: None
-        self.on_weights_observed: Callable[[Instance, str, int], None] = lambda *seen: (
-            None
-        )
-        self.on_version_advanced: Callable[[], None] = lambda: None
+        self.on_instance_removed: Callable[[Instance], None] = _ignore
+        self.on_weights_observed: Callable[[Instance, str, int], None] = _ignore
+        self.on_leaving: Callable[[str, int], None] = _ignore
+        self.on_version_advanced: Callable[[], None] = _ignore
         self.configuration: RoutingConfiguration | None = None
         self.desired_weights: dict[str, DesiredWeights] = {}
         self.registry = InstanceRegistry()
@@ -232,6 +235,22 @@
         if instance is not None and instance.started_ms == started_ms:
             self.caches.clear(name)
 
+    def record_leaving(
+        self, name: str, started_ms: int, *, from_peer: bool = False
+    ) -> None:
+        """Record that an incarnation stated, here or to a peer, that it is leaving."""
+        told_at = self.clock() if from_peer else float("-inf")
+        if not self.registry.record_leaving(name, started_ms, told_at=told_at):
+            return
+        self.log(
+            "instance-leaving",
+            instance=name,
+            started_ms=started_ms,
+            from_peer=from_peer,
+        )
+        if not from_peer:
+            self.on_leaving(name, started_ms)
+
     def apply_weights_age(self, model: str, version: int, *, age_s: float) -> None:
         """Apply the age of desired weights from a peer that observed the change."""
         desired = self.desired_weights.get(model)
@@ -339,6 +358,8 @@
         replaced = self.registry.apply_entry(instance, row_version=row.version)
         if replaced is not None:
             self._forget_instance(replaced)
+        # It is draining also if it stated that, whatever its entry says.
+        instance = self.registry.get(instance.name) or instance
         if known is None or replaced is not None or known.draining != instance.draining:
             self.log(
                 "instance-registered",
--- a/src/endivelug/forwarding/instances.py
+++ b/src/endivelug/forwarding/instances.py
@@ -3,13 +3,20 @@
 The entries come from the feed of the registry. While the registry is unreachable, the
 leases of live instances may lapse. These instances register again soon after the
 registry is back, so removals that are received until then are provisional.
+
+An instance is draining if its entry says so, or if it stated in a response that it is
+leaving. The statement belongs to one incarnation; an entry that still says otherwise
+does not revoke it.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 # Live instances whose entry lapsed during an outage of the registry register again
 # within two seconds of its end; one heartbeat is added as a margin.
 REREGISTRATION_S = 2.5
+# Incarnations that stated that they are leaving; the oldest statements are dropped
+# beyond this, by when their instances are long gone.
+MAX_LEAVING = 1024
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -23,7 +30,8 @@
     started_ms : int
         Start time in Unix milliseconds; with ``name`` it identifies the incarnation.
     draining : bool
-        Whether the instance announced that it will stop.
+        Whether the instance announced that it will stop, in the registry or in a
+        response.
     model_versions : tuple of (str, int)
         Weights version of each model.
     """
@@ -54,6 +62,7 @@
 class _Entry:
     instance: Instance
     row_version: int
+    drain_listed: bool
     registered: bool = True
     removed_until: float = 0.0
 
@@ -66,6 +75,8 @@
     ----------
     entries : dict of str to _Entry
         Entries by instance name.
+    leaving : dict of (str, int) to float
+        Incarnations that stated that they are leaving, and when a peer last told so.
     removed : dict of str to int
         Row version of the removal, by name of a removed instance.
     provisional_until : float
@@ -74,10 +85,12 @@
     """
 
     entries: dict[str, _Entry] = field(default_factory=dict)
+    leaving: dict[tuple[str, int], float] = field(default_factory=dict)
     removed: dict[str, int] = field(default_factory=dict)
     provisional_until: float = 0.0
     _newest: dict[str, Instance] | None = None
     _serving: dict[str, list[Instance]] = field(default_factory=dict)
+    _cache_holders: dict[str, list[Instance]] = field(default_factory=dict)
 
     def record_registry_lost(self) -> None:
         """Record that the registry is unreachable."""
@@ -95,13 +108,55 @@
             return None
         if self.removed.get(instance.name, 0) >= row_version:
             return None
-        self.entries[instance.name] = _Entry(instance=instance, row_version=row_version)
+        drain_listed = instance.draining
+        if instance.incarnation in self.leaving:
+            instance = replace(instance, draining=True)
+        self.entries[instance.name] = _Entry(
+            instance=instance, row_version=row_version, drain_listed=drain_listed
+        )
         if known is None or known.instance != instance:
             self._invalidate_caches()
         if known is not None and known.instance.incarnation != instance.incarnation:
             return known.instance
         return None
 
+    def record_leaving(
+        self, name: str, started_ms: int, *, told_at: float = float("-inf")
+    ) -> bool:
+        """Record that an incarnation is leaving; return whether that is news.
+
+        Parameters
+        ----------
+        told_at : float
+            When a peer told so, if it was one.
+        """
+        incarnation = (name, started_ms)
+        known = self.leaving.get(incarnation)
+        self.leaving[incarnation] = told_at if known is None else max(known, told_at)
+        if known is not None:
+            return False
+        if len(self.leaving) > MAX_LEAVING:
+            del self.leaving[next(iter(self.leaving))]
+        entry = self.entries.get(name)
+        if entry is not None and entry.instance.incarnation == incarnation:
+            entry.instance = replace(entry.instance, draining=True)
+            self._invalidate_caches()
+        return True
+
+    def is_leaving(self, instance: Instance) -> bool:
+        """Return whether an instance stated itself that it is leaving."""
+        return instance.incarnation in self.leaving
+
+    def leaves_unlisted(self, incarnation: tuple[str, int]) -> bool:
+        """Return whether an incarnation is leaving while its entry says otherwise."""
+        entry = self.entries.get(incarnation[0])
+        return (
+            entry is not None
+            and incarnation in self.leaving
+            and entry.instance.incarnation == incarnation
+            and not entry.drain_listed
+        )
+
     def remove(self, name: str, *, row_version: int, now: float) -> Instance | None:
         """Apply a removal; return the instance unless the removal is provisional."""
         known = self.entries.get(name)
@@ -112,9 +167,7 @@
             known.registered = False
             known.removed_until = min(self.provisional_until, now + 60.0)
             return None
-        del self.entries[name]
-        self.removed[name] = row_version
-        self._invalidate_caches()
+        self._delete(known)
         return known.instance
 
     def expire(self, *, now: float) -> list[Instance]:
@@ -122,14 +175,21 @@
         removed_instances: list[Instance] = []
         if now < self.provisional_until:
             return removed_instances
-        for name, entry in list(self.entries.items()):
+        for entry in list(self.entries.values()):
             if not entry.registered:
-                del self.entries[name]
-                self.removed[name] = entry.row_version
+                self._delete(entry)
                 removed_instances.append(entry.instance)
-                self._invalidate_caches()
         return removed_instances
 
+    def _delete(self, entry: _Entry) -> None:
+        instance = entry.instance
+        del self.entries[instance.name]
+        self.removed[instance.name] = entry.row_version
+        if not instance.started_ms:
+            # Without a start time, the next incarnation cannot be told from this one.
+            self.leaving.pop(instance.incarnation, None)
+        self._invalidate_caches()
+
     def get(self, name: str) -> Instance | None:
         """Return an instance by name, or None."""
         entry = self.entries.get(name)
@@ -146,6 +206,22 @@
             ]
         return serving
 
+    def cache_holders(self, service: str) -> list[Instance]:
+        """Return the instances of a service from which cached prompts may be copied.
+
+        They include those that stated that they are leaving: such an instance runs
+        until its last request has ended, while its entry lasts.
+        """
+        holders = self._cache_holders.get(service)
+        if holders is None:
+            holders = self._cache_holders[service] = [
+                instance
+                for instance in self._newest_by_address().values()
+                if instance.service == service
+                and (not instance.draining or self.is_leaving(instance))
+            ]
+        return holders
+
     def _newest_by_address(self) -> dict[str, Instance]:
         """Return the instance that started last at each address.
 
@@ -163,10 +239,11 @@
         return newest
 
     def _invalidate_caches(self) -> None:
-        # Both results are cached, because each request reads them and they rarely
+        # The results are cached, because each request reads them and they rarely
         # change.
         self._newest = None
         self._serving.clear()
+        self._cache_holders.clear()
 
     def all(self) -> list[Instance]:
         """Return the newest instance at each address, including draining ones."""
--- a/src/endivelug/forwarding/node.py
+++ b/src/endivelug/forwarding/node.py
@@ -149,6 +149,7 @@
             rng=rng,
             log=log,
         )
+        self.placer.pace.connect(self.peers)
         self.orders.last_peer_order_at = self.peers.last_peer_order_at
         self.view.on_weights_observed = self.peers.announce_weights
         self.sync.must_follow = self.peers.follows_store
@@ -290,6 +291,7 @@
             self.silence_watch.run,
             self.cache_store_watch.run,
             self.loop_watch.run,
+            self.placer.pace.run,
             self.front_server.watch_callers,
         ):
             self.jobs.start(job)
@@ -361,6 +363,7 @@
         gauges["prompts_blocked"] = lambda: len(self.suspects.blocked(now=self.clock()))
         gauges["connections_opened"] = lambda: self.pool.opened_total
         gauges["loop_late_seconds_max"] = lambda: self.loop_watch.longest_s
+        gauges.update(self.placer.pace.gauges())
         gauges["callers_left_unserved"] = lambda: self.front_server.left_total
 
     async def _shut_down(self) -> None:
--- a/src/endivelug/forwarding/pace/upstream_pace.py
+++ b/src/endivelug/forwarding/pace/upstream_pace.py
@@ -1,26 +1,64 @@
 """Applies what upstreams state and how they respond to where requests are sent."""
 
+import asyncio
+import random
 from collections.abc import Callable
+from typing import Protocol
 
 from endivelug.forwarding.cluster_view import ClusterView
 from endivelug.forwarding.instances import Instance
+from endivelug.forwarding.pace.leaving_notices import LeavingNotices
 from endivelug.forwarding.pace.stated_pauses import stated_pause
+from endivelug.forwarding.peer_messages import NoticeKind
 from endivelug.forwarding.requests import ResponseInfo
 
 # An upstream whose answers all state an unusable time gets one log line in this time.
 FAULT_LOG_INTERVAL_S = 10.0
+# Interval at which notices are checked.
+ROUND_S = 0.5
+
+
+class NoticeSender(Protocol):
+    """The links to the other VMs."""
+
+    def send_notice(self, name: str, kind: NoticeKind, for_s: float) -> None:
+        """Send an expiring notice to all VMs."""
 
 
 class UpstreamPace:
     """Pauses, departures and pace of the upstreams, as this VM knows them."""
 
-    def __init__(self, *, view: ClusterView, clock: Callable[[], float]) -> None:
+    def __init__(
+        self, *, view: ClusterView, clock: Callable[[], float], rng: random.Random
+    ) -> None:
         self.view = view
         self.clock = clock
+        self.notices = LeavingNotices(
+            registry=view.registry, send=lambda name, for_s: None, rng=rng
+        )
+        view.on_leaving = self._announce_leaving
         self._fault_logged_at: dict[str, float] = {}
 
+    def connect(self, peers: NoticeSender) -> None:
+        """Exchange what is known with the other VMs."""
+        self.notices.send = lambda name, for_s: peers.send_notice(
+            name, NoticeKind.LEAVING, for_s
+        )
+
+    def gauges(self) -> dict[str, Callable[[], float]]:
+        """Return the current values for the metrics, by name."""
+        return {"upstreams_paused": self.paused, "upstreams_leaving": self.leaving}
+
+    async def run(self) -> None:
+        """Repeat the notices until cancelled."""
+        while True:
+            await asyncio.sleep(ROUND_S)
+            self.notices.repeat(now=self.clock())
+
     def record_head(self, instance: Instance, info: ResponseInfo) -> None:
         """Record what the head of a response from an instance asks for."""
+        if info.leaving:
+            self.view.record_leaving(instance.name, instance.started_ms)
         if info.retry_after_s is not None or info.invalid_retry_after is not None:
             self._record_pause(instance, info)
 
@@ -29,6 +67,14 @@
         now = self.clock()
         return sum(load.paused_until > now for load in self.view.loads.loads.values())
 
+    def leaving(self) -> int:
+        """Return the number of registered upstreams that stated that they leave."""
+        registry = self.view.registry
+        return sum(registry.is_leaving(instance) for instance in registry.all())
+
+    def _announce_leaving(self, name: str, started_ms: int) -> None:
+        self.notices.announce((name, started_ms), now=self.clock())
+
     def _record_pause(self, instance: Instance, info: ResponseInfo) -> None:
         pause = stated_pause(info)
         if pause is None:
--- a/src/endivelug/forwarding/peer_messages.py
+++ b/src/endivelug/forwarding/peer_messages.py
@@ -11,6 +11,9 @@
 from endivelug.forwarding.retry_budget import RetryReport
 from endivelug.forwarding.shared_amounts import AmountReport
 
+# Digits of the largest start time that a registration may have.
+MAX_DIGITS = 16
+
 
 class NoticeKind(StrEnum):
     """Kind of a notice; the values are sent on the wire.
@@ -26,12 +29,16 @@
     REFUSED : str
         A request was refused, and its caller was asked to retry when the notice
         expires.
+    LEAVING : str
+        An incarnation of an instance stated that it is leaving. It stays so; the notice
+        is repeated until the registry says so too.
     """
 
     AVOID = "avoid"
     ORDER = "order"
     STORE_GONE = "store-gone"
     REFUSED = "refused"
+    LEAVING = "leaving"
 
 
 @dataclass(slots=True, kw_only=True)
@@ -41,7 +48,8 @@
     Attributes
     ----------
     name : str
-        Name of an instance, address of a cache store, or digest of a request.
+        Name of an instance, address of a cache store, digest of a request, or an
+        incarnation as ``incarnation_name`` writes it.
     kind : str
         One of ``NoticeKind``.
     for_s : float
@@ -56,6 +64,27 @@
     origin: int = -1
 
 
+def incarnation_name(name: str, started_ms: int) -> str:
+    """Return the name of a notice on one incarnation of an instance."""
+    return f"{started_ms}/{name}"
+
+
+def incarnation_of(notice: str) -> tuple[str, int] | None:
+    """Return the incarnation that a notice names, or None if it names none.
+
+    Examples
+    --------
+    >>> incarnation_of(incarnation_name("a/b", 1000))
+    ('a/b', 1000)
+    >>> incarnation_of("x/b")
+    """
+    started, separator, name = notice.partition("/")
+    usable = started.isascii() and started.isdecimal() and len(started) <= MAX_DIGITS
+    if not separator or not usable:
+        return None
+    return (name, int(started))
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class EngineWeights:
     """Weights that the sender observed on an engine."""
--- a/src/endivelug/forwarding/peer_reports.py
+++ b/src/endivelug/forwarding/peer_reports.py
@@ -18,6 +18,7 @@
     Mark,
     NoticeKind,
     RouterReport,
+    incarnation_of,
 )
 from endivelug.forwarding.prompt_cache import PromptSegment
 from endivelug.forwarding.refused_callers import RefusedCallers
@@ -198,6 +199,10 @@
                     self.view.avoid_cache_store(notice.name, until)
                 case NoticeKind.REFUSED:
                     self.refused.record_refusal(notice.name, retry_at=until, now=now)
+                case NoticeKind.LEAVING:
+                    incarnation = incarnation_of(notice.name)
+                    if incarnation is not None:
+                        self.view.record_leaving(*incarnation, from_peer=True)
 
     def _apply_segment(self, segment: HeldPart) -> None:
         caches = self.view.caches
--- a/src/endivelug/forwarding/placement.py
+++ b/src/endivelug/forwarding/placement.py
@@ -114,7 +114,7 @@
         self.clock = clock
         self.rates: dict[str, PrefillRate] = {}
         self.fleet = Fleet()
-        self.pace = UpstreamPace(view=view, clock=clock)
+        self.pace = UpstreamPace(view=view, clock=clock, rng=rng)
         self.lookup = CacheLookup(view=view, clock=clock)
         self.engines = EngineCandidates(
             view=view,
--- a/src/endivelug/forwarding/stream_recovery.py
+++ b/src/endivelug/forwarding/stream_recovery.py
@@ -46,6 +46,9 @@
         registered = self.view.registry.get(backup.name)
         if registered is None or registered.incarnation != backup.incarnation:
             return None
+        if self.view.registry.is_leaving(registered):
+            # It wants no request more, and a continuation is one.
+            return None
         model = call.request.model or ""
         if self.view.weights_of(backup, model) != failed.weights:
             return None
