--- a/src/endivelug/forwarding/cache_lookup.py
+++ b/src/endivelug/forwarding/cache_lookup.py
@@ -50,7 +50,7 @@
                     store=True,
                 )
             )
-        for other in self.view.registry.of_service(call.service):
+        for other in self.view.registry.cache_holders(call.service):
             tokens = cached(other.name, namespace=namespace, segments=segments)
             # Most engines have nothing of a prompt.
             if not tokens:
--- a/src/endivelug/forwarding/node.py
+++ b/src/endivelug/forwarding/node.py
@@ -149,6 +149,7 @@
             rng=rng,
             log=log,
         )
+        self.placer.pace.connect(self.peers)
         self.orders.last_peer_order_at = self.peers.last_peer_order_at
         self.view.on_weights_observed = self.peers.announce_weights
         self.sync.must_follow = self.peers.follows_store
@@ -238,6 +239,7 @@
             view=self.view,
             clock=self.clock,
             on_started=self.first_bytes.record,
+            on_head=self.first_bytes.record_head,
             on_events=self.crash_watch.record_events,
             is_blocked=self.crash_watch.is_blocked,
         )
@@ -289,6 +291,7 @@
             self.silence_watch.run,
             self.cache_store_watch.run,
             self.loop_watch.run,
+            self.placer.pace.run,
             self.front_server.watch_callers,
         ):
             self.jobs.start(job)
@@ -360,6 +363,7 @@
         gauges["prompts_blocked"] = lambda: len(self.suspects.blocked(now=self.clock()))
         gauges["connections_opened"] = lambda: self.pool.opened_total
         gauges["loop_late_seconds_max"] = lambda: self.loop_watch.longest_s
+        gauges.update(self.placer.pace.gauges())
         gauges["callers_left_unserved"] = lambda: self.front_server.left_total
 
     async def _shut_down(self) -> None:
