Limit organisations by quotas over all VMs

Cause: an organisation's limit holds for all VMs together, and nothing enforced one. Change: each VM estimates the organisation's token bucket from its own admissions and the rates that the others report (quotas/bucket, usage, quota_limiter); the forwarder charges a call before it queues, answers 429 with a time to retry, charges further runs and gives back what did not run (quota_gate). The adapter decodes quotas and the deployment's tolerance; a quota that cannot be used is logged and limits nothing.

--- a/src/endivelug/busiest.py
+++ b/src/endivelug/busiest.py
@@ -46,6 +46,10 @@
             self.counts[organisation] = self.counts.pop(least) + 1
         return organisation if organisation in self.labels else OTHER
 
+    def label_of(self, organisation: str) -> str:
+        """Return the label of an organisation, without counting a request."""
+        return organisation if organisation in self.labels else OTHER
+
     def rotate_labels(self) -> set[str]:
         """Update the selection, halve the counts and return the removed labels."""
         order = sorted(self.counts, key=lambda name: -self.counts[name])
--- a/src/endivelug/forwarding/calls.py
+++ b/src/endivelug/forwarding/calls.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from endivelug.forwarding.event_stream import EventSplitter
+from endivelug.forwarding.quotas.charges import QuotaCharge
 from endivelug.forwarding.requests import InboundRequest
 from endivelug.forwarding.routes import Organisation, Repeat, Route
 from endivelug.forwarding.upstream_connection import ResponseHead
@@ -64,6 +65,8 @@
         Longest pause between two events.
     events : int
         Complete events received from the instance of the attempt in progress.
+    quota_charge : QuotaCharge or None
+        What the call is charged to its organisation's quota.
     """
 
     request: InboundRequest
@@ -88,6 +91,7 @@
     last_event_at: float | None = None
     longest_pause_s: float = 0.0
     events: int = 0
+    quota_charge: QuotaCharge | None = None
     key: str = field(default_factory=_new_key)
     splitter: EventSplitter = field(default_factory=EventSplitter)
 
--- a/src/endivelug/forwarding/forwarder.py
+++ b/src/endivelug/forwarding/forwarder.py
@@ -24,6 +24,7 @@
 from endivelug.forwarding.dispatcher import Dispatcher
 from endivelug.forwarding.front_server import Writer
 from endivelug.forwarding.placement import Placement
+from endivelug.forwarding.quotas.quota_gate import QuotaGate
 from endivelug.forwarding.refused_callers import RefusedCallers, request_digest
 from endivelug.forwarding.requests import InboundRequest, WireFormat
 from endivelug.forwarding.retry_budget import SharedRetryBudget
@@ -79,6 +80,7 @@
         runner: AttemptRunner,
         recovery: StreamRecovery,
         budget: SharedRetryBudget,
+        quotas: QuotaGate,
         recorder: CallRecorder,
         clock: Callable[[], float],
         rng: random.Random,
@@ -95,6 +97,7 @@
         self.runner = runner
         self.recovery = recovery
         self.budget = budget
+        self.quotas = quotas
         self.recorder = recorder
         self.clock = clock
         self.rng = rng
@@ -133,6 +136,8 @@
             raise
         except Exception as error:
             await self._fail_unforeseen(call, writer, error)
+        finally:
+            self.quotas.end(call)
 
     async def _admit(self, request: InboundRequest, writer: Writer) -> Call | None:
         """Return the call of a valid request, or send an error response."""
@@ -165,7 +170,7 @@
                 await self._send_error(request.id, writer, 401, "the key is not known")
                 return None
         received = request.received_at
-        return Call(
+        call = Call(
             request=request,
             route=route,
             organisation=organisation,
@@ -174,6 +179,18 @@
             target_at=received + route.target_s,
             deadline=min(request.deadline, received + route.timeout_s),
         )
+        refusal = self.quotas.admit(call)
+        if refusal is not None:
+            self.recorder.metrics.record_over_quota(call)
+            await self._send_error(
+                request.id,
+                writer,
+                429,
+                "the organisation is over its quota",
+                refusal.retry_after_s,
+            )
+            return None
+        return call
 
     async def _serve(self, call: Call, writer: Writer) -> None:
         failure: Failed | None = None
@@ -195,6 +212,7 @@
                 self.dispatcher.schedule_assignment()
                 continuation = None
                 continue
+            self.quotas.before_send(call)
             self.recorder.record_sent(call, placement)
             self.on_sending(placement)
             call.instance = name
@@ -366,6 +384,6 @@
         retry_after_s: float | None = None,
     ) -> None:
         headers = self.wire.refusal_headers(request_id, retry_after_s)
-        run = "not-run" if status in (400, 401, 404, 413, 503) else "may-have-run"
+        run = "not-run" if status in (400, 401, 404, 413, 429, 503) else "may-have-run"
         body = json.dumps({"status": status, "detail": reason, "run": run}).encode()
         await writer.start(status, "", headers, body)
--- a/src/endivelug/forwarding/node.py
+++ b/src/endivelug/forwarding/node.py
@@ -34,6 +34,7 @@
 from endivelug.forwarding.peer_messages import NoticeKind
 from endivelug.forwarding.peers import Peers
 from endivelug.forwarding.placement import OLD_WEIGHTS_MARGIN_S, Placer
+from endivelug.forwarding.quotas.quota_gate import make_quota_gate
 from endivelug.forwarding.refused_callers import RefusedCallers
 from endivelug.forwarding.retry_budget import SharedRetryBudget
 from endivelug.forwarding.silence_watch import SilenceWatch
@@ -135,6 +136,7 @@
         self.refused = RefusedCallers()
         self.suspects = CrashSuspects(vm=settings.vm)
         self.peers = self._make_peers()
+        self.quotas = make_quota_gate(settings, self.peers, self.metrics, rng)
         self.join = VmJoin(
             peers=self.peers,
             rows=VmRows(
@@ -248,6 +250,7 @@
             runner=runner,
             recovery=StreamRecovery(view=self.view, pool=self.pool, clock=self.clock),
             budget=self.budget,
+            quotas=self.quotas,
             recorder=CallRecorder(
                 metrics=self.metrics,
                 clock=self.clock,
@@ -283,6 +286,7 @@
             self.join.run,
             self.join.refresh,
             self.dispatcher.run,
+            self.quotas.run,
             self.orders.run,
             self.lease_keeper.run,
             self._sweep,
--- a/src/endivelug/forwarding/node_metrics.py
+++ b/src/endivelug/forwarding/node_metrics.py
@@ -94,6 +94,11 @@
             label = self.busiest.record_request(call.organisation.name)
             self.organisation_s.observe({"organisation": label}, seconds)
 
+    def record_over_quota(self, call: Call) -> None:
+        """Count a request that is refused before it is admitted."""
+        labels = {"route": self._route_label(call), "outcome": "over-quota"}
+        self.requests.inc(labels)
+
     def record_failed_attempt(self, call: Call, ending: str) -> None:
         """Count a failed attempt."""
         labels = {"service": call.service, "ending": ending}
--- a/src/endivelug/forwarding/node_settings.py
+++ b/src/endivelug/forwarding/node_settings.py
@@ -2,6 +2,11 @@
 
 from dataclasses import dataclass
 
+# What a deployment tolerates beyond quotas if its settings do not state it.
+DEFAULT_QUOTA_WINDOW_S = 8.0
+DEFAULT_QUOTA_OVER = 0.1
+DEFAULT_QUOTA_SLACK = 190_000.0
+
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class NodeSettings:
@@ -30,6 +35,9 @@
     retry_ratio, retry_slack, retry_window_s : float
         Retry budget of all VMs together: retries per request, retries beyond that, and
         the length of the sliding window.
+    quota_window_s, quota_over, quota_slack : float
+        Length of the windows in which quotas hold, and what may run beyond a quota in
+        each: a part of it, and a number of its units.
     """
 
     vm: str
@@ -48,3 +56,6 @@
     retry_ratio: float
     retry_slack: float
     retry_window_s: float
+    quota_window_s: float = DEFAULT_QUOTA_WINDOW_S
+    quota_over: float = DEFAULT_QUOTA_OVER
+    quota_slack: float = DEFAULT_QUOTA_SLACK
--- a/src/endivelug/forwarding/peer_reports.py
+++ b/src/endivelug/forwarding/peer_reports.py
@@ -176,7 +176,7 @@
             acknowledged=acknowledged,
         )
         for key, values in shared.items():
-            self.shared.neighbours.set(vm, key, values)
+            self.shared.set_neighbour(vm, key, values)
 
     def _apply_notices(self, vm: str, notices: list[Mark]) -> None:
         now = self.clock()
--- /dev/null
+++ b/src/endivelug/forwarding/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas of organisations over all VMs."""
--- a/src/endivelug/forwarding/requests.py
+++ b/src/endivelug/forwarding/requests.py
@@ -25,6 +25,8 @@
         Time until which the caller waits; infinite if the request has no deadline.
     model : str or None
         Model of a generation.
+    states_tokens : bool
+        Whether the caller states the tokens of prompt and output.
     last_event : str or None
         Id of the event after which the caller wants to resume a stream.
     """
@@ -41,6 +43,7 @@
     prompt: list[PromptSegment] = field(default_factory=list)
     prompt_tokens: int = 0
     output_tokens: int = 0
+    states_tokens: bool = False
     last_event: str | None = None
     body: bytes = b""
 
--- a/src/endivelug/forwarding/routes.py
+++ b/src/endivelug/forwarding/routes.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from endivelug.forwarding.quotas.quota import Quota
+
 
 class Repeat(Enum):
     """Whether the requests of a route may be repeated."""
@@ -155,11 +157,14 @@
         Priority of its requests; None for the priority of the route.
     isolated : bool
         Whether its cached prompts are not shared with other organisations.
+    quota : Quota or None
+        Limit of its requests at all VMs together; None without any.
     """
 
     name: str
     priority: int | None
     isolated: bool
+    quota: Quota | None = None
 
 
 @dataclass(slots=True, kw_only=True)
@@ -174,6 +179,10 @@
         Routes by host, the longest prefix first.
     organisations_by_key : dict of str to Organisation
         Organisations by API key; empty if requests carry no keys.
+    quotas : dict of str to Quota
+        Quotas by organisation.
+    unusable_quotas : dict of str to str
+        By organisation, why its quota is not applied.
     """
 
     version: int
@@ -183,6 +192,8 @@
     routes: dict[str, list[Route]] = field(default_factory=dict)
     organisations_by_key: dict[str, Organisation] = field(default_factory=dict)
     has_organisations: bool = False
+    quotas: dict[str, Quota] = field(default_factory=dict)
+    unusable_quotas: dict[str, str] = field(default_factory=dict)
 
     def route_for(self, host: str, path: str) -> Route | None:
         """Return the route of the host with the longest prefix of the path, or None."""
--- a/src/endivelug/forwarding/shared_amounts.py
+++ b/src/endivelug/forwarding/shared_amounts.py
@@ -62,6 +62,8 @@
     ----------
     on_change : callable
         Called after a value of this VM has changed.
+    on_sum_change : dict of str to callable
+        By kind, called with a key before the sum over the other VMs changes.
     """
 
     own: dict[str, Amounts] = field(default_factory=dict)
@@ -69,6 +71,15 @@
         default_factory=lambda: NeighbourSums(zero=NO_AMOUNTS)
     )
     on_change: Callable[[], None] = lambda: None
+    on_sum_change: dict[str, Callable[[str], None]] = field(default_factory=dict)
+
+    def set_neighbour(self, vm: str, key: str, values: Amounts) -> None:
+        """Replace the values that a neighbour reports."""
+        kind, _, rest = key.partition(KIND_SEPARATOR)
+        listener = self.on_sum_change.get(kind)
+        if listener is not None:
+            listener(rest)
+        self.neighbours.set(vm, key, values)
 
     def own_of(self, key: str) -> Amounts:
         """Return the values of this VM."""
--- a/src/endivelug/platform/header_format.py
+++ b/src/endivelug/platform/header_format.py
@@ -207,6 +207,7 @@
         # Number of prompt tokens, then the largest number of tokens to generate.
         usage = values.get("x-token-usage")
         if usage:
+            request.states_tokens = True
             prompt, _, output = usage.partition(",")
             request.prompt_tokens = _size(prompt)
             request.output_tokens = _size(output or "0")
--- a/src/endivelug/platform/records.py
+++ b/src/endivelug/platform/records.py
@@ -1,9 +1,11 @@
 """Decoders for rows of the operator and of upstreams."""
 
+import math
 from typing import Any
 
 from endivelug.exceptions import EndivelugError
 from endivelug.forwarding.instances import Instance
+from endivelug.forwarding.quotas.quota import Quota, QuotaUnit
 from endivelug.forwarding.records import (
     ConfigurationRecord,
     InstanceRecord,
@@ -26,6 +28,7 @@
 )
 from endivelug.forwarding.row_store import StoredRow
 from endivelug.platform.documents import (
+    MAX_INTEGER,
     DocumentUnreadable,
     is_address,
     is_integer,
@@ -41,6 +44,11 @@
 STATES = ("ready", "draining")
 # Capacity of a cache store whose configuration does not state it, in tokens.
 DEFAULT_STORE_TOKENS = 1_000_000
+QUOTA_UNITS = {"requests": QuotaUnit.REQUESTS, "token_stream": QuotaUnit.TOKENS}
+
+
+class QuotaUnusable(EndivelugError):
+    """A quota cannot be applied; correct it, until then there is no limit."""
 
 
 class RecordUnreadable(EndivelugError):
@@ -225,11 +233,58 @@
             name=str(item["name"]),
             priority=priority if type(priority) is int else None,
             isolated=bool(item.get("isolated", False)),
+            quota=_add_quota(configuration, item),
         )
         for key in item.get("apiKeys", []):
             configuration.organisations_by_key[str(key)] = organisation
 
 
+def _add_quota(configuration: RoutingConfiguration, item: Any) -> Quota | None:
+    name = str(item["name"])
+    try:
+        quota = _quota(item)
+    except QuotaUnusable as error:
+        configuration.unusable_quotas[name] = str(error)
+        return None
+    if quota is not None:
+        configuration.quotas[name] = quota
+    return quota
+
+
+def _quota(item: dict[str, Any]) -> Quota | None:
+    """Return the quota in an organisation's entry; None if it has no limit.
+
+    Raises
+    ------
+    QuotaUnusable
+        If a value cannot be used, or the unit is of a later version.
+    """
+    rate, burst = item.get("ratePerS"), item.get("burst")
+    if rate is None or rate == 0:
+        return None
+    unit = item.get("unit", "requests")
+    if not isinstance(unit, str) or unit not in QUOTA_UNITS:
+        raise QuotaUnusable(f"the unit {str(unit)[:40]!r} is not known; name another")
+    default_tokens = item.get("plainTokens", 0)
+    if not is_integer(default_tokens):
+        raise QuotaUnusable("the tokens of a request must be an integer from 0")
+    burst = 0 if burst is None else burst
+    if not _is_number(rate) or not _is_number(burst):
+        raise QuotaUnusable("rate and burst must be numbers, 0 or above")
+    return Quota(
+        rate=float(rate),
+        burst=float(burst),
+        unit=QUOTA_UNITS[unit],
+        default_tokens=default_tokens,
+    )
+
+
+def _is_number(value: Any) -> bool:
+    if type(value) not in (int, float):
+        return False
+    return math.isfinite(value) and 0 <= value <= MAX_INTEGER
+
+
 class PlatformRecords:
     """Decodes the platform's rows; implements ``RecordFormat``."""
 
--- a/src/endivelug/platform/settings.py
+++ b/src/endivelug/platform/settings.py
@@ -4,7 +4,12 @@
 from typing import Any
 
 from endivelug.exceptions import SettingError, SettingsError
-from endivelug.forwarding.node_settings import NodeSettings
+from endivelug.forwarding.node_settings import (
+    DEFAULT_QUOTA_OVER,
+    DEFAULT_QUOTA_SLACK,
+    DEFAULT_QUOTA_WINDOW_S,
+    NodeSettings,
+)
 from endivelug.platform.documents import DocumentUnreadable, read_object
 
 # Environment variable with the path of the settings file.
@@ -36,6 +41,12 @@
         """Return a number, or 0 if the file does not have it."""
         return 0.0 if self._value(section, key) is None else self.number(section, key)
 
+    def number_or(self, section: str, key: str, default: float) -> float:
+        """Return a number, or the default if the file does not have it."""
+        if self._value(section, key) is None:
+            return default
+        return self.number(section, key)
+
     def flag(self, section: str, key: str) -> bool:
         value = self._value(section, key)
         if isinstance(value, bool):
@@ -104,4 +115,9 @@
         retry_ratio=reader.number("bounds", "retryBudgetRatio"),
         retry_slack=reader.number("bounds", "retrySlack"),
         retry_window_s=reader.number("bounds", "budgetWindowS"),
+        quota_window_s=reader.number_or(
+            "bounds", "quotaWindowS", DEFAULT_QUOTA_WINDOW_S
+        ),
+        quota_over=reader.number_or("bounds", "quotaOver", DEFAULT_QUOTA_OVER),
+        quota_slack=reader.number_or("bounds", "quotaSlack", DEFAULT_QUOTA_SLACK),
     )
