Keep the queue of waiting calls in order

Cause: each new call scanned the whole queue, and each free slot sorted it, so under overload the work of one request grew with the queue of all services. The order is the same; equal calls keep their order of arrival.

--- a/src/endivelug/forwarding/dispatcher.py
+++ b/src/endivelug/forwarding/dispatcher.py
@@ -72,10 +72,7 @@
 
     def _must_queue(self, call: Call) -> bool:
         """Return whether a waiting call of the service has precedence."""
-        return any(
-            waiting.service == call.service and waiting.priority <= call.priority
-            for waiting in self.queue.requests.values()
-        )
+        return self.queue.has_precedence(call.service, call.priority)
 
     async def _wait(
         self, call: Call, *, expires_at: float, returning: bool
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -1,3 +1,6 @@
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from endivelug.forwarding.request_queue import QueuedRequest, RequestQueue
 
 
@@ -51,3 +54,56 @@
     assert send_order(queue) == ["b"]
     queue.remove("b")
     assert send_order(queue) == []
+
+
+# Guards against an order, a position or a count that differ from those of a queue that
+# is sorted anew each time.
+@given(
+    st.lists(
+        st.tuples(
+            st.integers(0, 2),
+            st.booleans(),
+            st.integers(0, 20),
+            st.integers(0, 5),
+            st.booleans(),
+        ),
+        max_size=30,
+    ),
+    st.lists(st.integers(0, 25), min_size=1, max_size=4),
+)
+@settings(derandomize=True)
+def test_the_order_is_that_of_a_sorted_list(items, times):
+    queue, known = RequestQueue(), {}
+    for number, (priority, returning, target, expected, removed) in enumerate(items):
+        item = QueuedRequest(
+            request=str(number),
+            service="s",
+            priority=priority,
+            returning=returning,
+            target_at=float(target),
+            expires_at=100.0,
+            expected_s=float(expected),
+            tokens=1,
+        )
+        queue.add(item)
+        if removed:
+            queue.remove(item.request)
+        else:
+            known[item.request] = item
+    for now in sorted(times):
+        order = sorted(
+            known.values(),
+            key=lambda item: (
+                item.priority,
+                item.late_at <= now,
+                not item.returning,
+                item.target_at,
+                item.number,
+            ),
+        )
+        assert list(queue.in_send_order("s", now=now)) == order
+        assert queue.count("s") == len(order)
+        for position, item in enumerate(order):
+            ahead = queue.ahead_of(item.request, now=now)
+            assert ahead.requests == position
+            assert ahead.tokens in (position, position - 1)
