Refuse calls that clearly cannot be sent in their time at once

Cause: a call that no instance could take waited until its deadline, also where the queue ahead of it was longer than the upstreams could serve by then. Its caller lost that time. Change: forwarding/overload estimates when a waiting call would be sent, from the calls and tokens ahead of it and the calls that leave this VM's queue, with the highest rate that is compatible with the counts. A call that is too late even then is refused on arrival, or within 0.1 s after that is clear, with a Retry-After from the same estimate. For plain services the time to an answer is measured. Nothing is refused early while under half of the capacity is taken, after less urgent calls were sent, or after the call may have run.

--- a/src/endivelug/forwarding/dispatcher.py
+++ b/src/endivelug/forwarding/dispatcher.py
@@ -7,6 +7,11 @@
 
 from endivelug.forwarding.calls import Call
 from endivelug.forwarding.instance_load import Work
+from endivelug.forwarding.overload.control import (
+    AdmissionControl,
+    Overloaded,
+    tokens_of,
+)
 from endivelug.forwarding.placement import Placement, Placer
 from endivelug.forwarding.request_queue import QueuedRequest, RequestQueue
 from endivelug.forwarding.wait_reasons import NoPlacement, WaitReason
@@ -20,22 +25,30 @@
 
 @dataclass(slots=True, kw_only=True)
 class _Waiter:
-    """A waiting call and the future that receives its placement."""
+    """A waiting call and the future that receives its placement or refusal."""
 
     call: Call
-    future: asyncio.Future[Placement]
+    future: asyncio.Future[Placement | Overloaded]
 
 
 class Dispatcher:
     """Assigns calls to instances in the order of the queue.
 
     A placement counts as work of its instance as soon as it is chosen.
+
+    Attributes
+    ----------
+    admission : AdmissionControl
+        Refuses calls that would be sent too late.
     """
 
     def __init__(self, *, placer: Placer, clock: Callable[[], float]) -> None:
         self.placer = placer
         self.clock = clock
         self.queue = RequestQueue()
+        self.admission = AdmissionControl(
+            view=placer.view, queue=self.queue, clock=clock
+        )
         self.waiters: dict[str, _Waiter] = {}
         self._scheduled = False
         self._has_waiters = asyncio.Event()
@@ -43,11 +56,16 @@
     async def place(
         self, call: Call, *, expires_at: float, returning: bool
     ) -> Placement | NoPlacement:
-        """Return the placement of a call, or why it has none at ``expires_at``."""
+        """Return the placement of a call, or why it has none at ``expires_at``.
+
+        A call that clearly would be sent later than that is refused before.
+        """
+        self.admission.record_arrival(call)
         if not self._must_queue(call):
             placement = self.placer.place(call)
             if isinstance(placement, Placement):
                 self.add_work(call, placement)
+                self.admission.record_sent(call)
                 return placement
         return await self._wait(call, expires_at=expires_at, returning=returning)
 
@@ -63,6 +81,7 @@
             await self._has_waiters.wait()
             await asyncio.sleep(ASSIGN_INTERVAL_S)
             self._assign()
+            self._review()
             if not self.waiters:
                 self._has_waiters.clear()
 
@@ -78,20 +97,26 @@
         self, call: Call, *, expires_at: float, returning: bool
     ) -> Placement | NoPlacement:
         key = call.key
-        future: asyncio.Future[Placement] = asyncio.get_running_loop().create_future()
+        item = QueuedRequest(
+            request=key,
+            service=call.service,
+            priority=call.priority,
+            returning=returning,
+            target_at=call.target_at,
+            expires_at=expires_at,
+            expected_s=self.placer.idle_first_byte_s(call),
+            tokens=tokens_of(call),
+        )
+        future: asyncio.Future[Placement | Overloaded] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self.queue.add(item)
+        refusal = self.admission.begin_waiting(call, item)
+        if refusal is not None:
+            self._end_waiting(item)
+            return refusal
         self.waiters[key] = _Waiter(call=call, future=future)
         self._has_waiters.set()
-        self.queue.add(
-            QueuedRequest(
-                request=key,
-                service=call.service,
-                priority=call.priority,
-                returning=returning,
-                target_at=call.target_at,
-                expires_at=expires_at,
-                expected_s=self.placer.idle_first_byte_s(call),
-            )
-        )
         self.schedule_assignment()
         try:
             async with asyncio.timeout(max(0.0, expires_at - self.clock())):
@@ -105,17 +130,25 @@
             if future.done() and not future.cancelled() and not future.exception():
                 # The placement was set in the same turn of the loop in which the caller
                 # disconnected.
-                self._remove_work(call, future.result())
+                result = future.result()
+                if isinstance(result, Placement):
+                    self._remove_work(call, result)
             raise
         finally:
-            self.queue.remove(key)
+            self._end_waiting(item)
             del self.waiters[key]
 
+    def _end_waiting(self, item: QueuedRequest) -> None:
+        if item.request in self.queue.requests:
+            self.queue.remove(item.request)
+            self.admission.end_waiting(item)
+
     def _assign(self) -> None:
         self._scheduled = False
         now = self.clock()
         for service in {waiter.call.service for waiter in self.waiters.values()}:
             failed = 0
+            placed = []
             for waiting in self.queue.in_send_order(service, now=now):
                 waiter = self.waiters[waiting.request]
                 if waiter.future.done():
@@ -132,7 +165,22 @@
                         break
                     continue
                 self.add_work(waiter.call, placement)
+                self.admission.record_sent(waiter.call)
                 waiter.future.set_result(placement)
+                placed.append(waiting)
+            for waiting in placed:
+                self._end_waiting(waiting)
+
+    def _review(self) -> None:
+        """Refuse the waiting calls that can no longer be sent in time."""
+        for service in {waiter.call.service for waiter in self.waiters.values()}:
+            for item, refusal in self.admission.review(service, self._waiting_call):
+                self.waiters[item.request].future.set_result(refusal)
+                self._end_waiting(item)
+
+    def _waiting_call(self, key: str) -> Call | None:
+        waiter = self.waiters[key]
+        return None if waiter.future.done() else waiter.call
 
     def add_work(self, call: Call, placement: Placement) -> None:
         """Add a placed call to the work of its instance."""
--- a/src/endivelug/forwarding/forwarder.py
+++ b/src/endivelug/forwarding/forwarder.py
@@ -23,6 +23,7 @@
 from endivelug.forwarding.crash_watch import CrashWatch
 from endivelug.forwarding.dispatcher import Dispatcher
 from endivelug.forwarding.front_server import Writer
+from endivelug.forwarding.overload.control import Overloaded
 from endivelug.forwarding.placement import Placement
 from endivelug.forwarding.refused_callers import RefusedCallers, request_digest
 from endivelug.forwarding.requests import InboundRequest, WireFormat
@@ -185,8 +186,7 @@
                 return
             placement = continuation or await self._place(call)
             if isinstance(placement, NoPlacement):
-                self.recorder.metrics.record_unplaced(call, placement.main_reason)
-                await self._fail(call, writer, failure, str(placement))
+                await self._fail_unplaced(call, writer, failure, placement)
                 return
             name = placement.instance.name
             if self.crash_watch.is_blocked(call):
@@ -199,6 +199,7 @@
             self.on_sending(placement)
             call.instance = name
             outcome: AttemptOutcome | None = None
+            sent_at = self.clock()
             try:
                 outcome = await self.runner.run(call, placement, writer)
                 call.instance = None
@@ -208,6 +209,7 @@
                 self.dispatcher.schedule_assignment()
             await self.crash_watch.record_outcome(call, placement, outcome)
             if isinstance(outcome, Delivered):
+                self.dispatcher.admission.record_answer(call, self.clock() - sent_at)
                 self.recorder.record_delivered(call, name)
                 return
             self._record_failure(call, placement, outcome)
@@ -278,6 +280,22 @@
         load.avoid_until = max(load.avoid_until, self.clock() + for_s)
         self.on_avoid(name, for_s)
 
+    async def _fail_unplaced(
+        self, call: Call, writer: Writer, failure: Failed | None, why: NoPlacement
+    ) -> None:
+        """Send the error response of a call that got no instance."""
+        self.recorder.metrics.record_unplaced(call, why.main_reason)
+        if not isinstance(why, Overloaded):
+            await self._fail(call, writer, failure, str(why))
+            return
+        self.recorder.metrics.record_refused_early(call, arrived=why.arrived)
+        after_s = max(self._retry_after_s(), why.spread_retry_after_s(self.rng))
+        self._record_refusal(call, after_s)
+        fields = why.log_fields()
+        await self._fail(
+            call, writer, None, str(why), retry_after_s=after_s, fields=fields
+        )
+
     async def _fail_blocked(
         self, call: Call, writer: Writer, failure: Failed | None, block: Block
     ) -> None:
@@ -299,6 +317,7 @@
         reason: str,
         *,
         retry_after_s: float | None = None,
+        fields: dict[str, object] | None = None,
     ) -> None:
         """Send the error response of an undelivered call, or abort its stream.
 
@@ -306,6 +325,8 @@
         ----------
         retry_after_s : float or None
             Time after which a call that was not sent may succeed, if it is known.
+        fields : dict or None
+            Further fields of the log line of a call that was not sent.
         """
         now = self.clock()
         if call.streaming:
@@ -328,7 +349,7 @@
                 retry_after_s = self._retry_after_s()
                 self._record_refusal(call, retry_after_s)
             self.recorder.record_undelivered(
-                call, "not-run", reason, retry_after_s=retry_after_s
+                call, "not-run", reason, retry_after_s=retry_after_s, **(fields or {})
             )
             await self._send_error(call.request.id, writer, 503, reason, retry_after_s)
 
--- a/src/endivelug/forwarding/node_metrics.py
+++ b/src/endivelug/forwarding/node_metrics.py
@@ -47,6 +47,11 @@
             "Calls that no instance could take, by service and main reason.",
             registry=self.registry,
         )
+        self.refused_early = Counter(
+            "endivelug_forward_refused_early_total",
+            "Calls refused before their deadline because they would be sent too late.",
+            registry=self.registry,
+        )
         self.first_byte_s = Histogram(
             "endivelug_forward_first_byte_seconds",
             "Time from a request to the first byte of its answer.",
@@ -104,6 +109,11 @@
         labels = {"service": call.service, "reason": reason.name.lower()}
         self.unplaced.inc(labels)
 
+    def record_refused_early(self, call: Call, *, arrived: bool) -> None:
+        """Count a call that would be sent too late, refused on arrival or later."""
+        labels = {"service": call.service, "when": "arrival" if arrived else "waiting"}
+        self.refused_early.inc(labels)
+
     def page(self) -> bytes:
         """Return all metrics in the text format of Prometheus."""
         for name, value in self.gauges.items():
--- /dev/null
+++ b/src/endivelug/forwarding/overload/__init__.py
@@ -0,0 +1,1 @@
+"""Admission control of calls that wait for an upstream."""
--- a/src/endivelug/forwarding/request_queue.py
+++ b/src/endivelug/forwarding/request_queue.py
@@ -177,12 +177,32 @@
     def ahead_of(self, request: str, *, now: float) -> QueueAhead:
         """Return what is sent before a queued request."""
         item = self.requests[request]
-        levels = self.levels[item.service]
-        level = levels[item.priority]
+        level = self.levels[item.service][item.priority]
         level.advance(now)
-        own = level.ahead_of(item)
+        return self._with_more_urgent(item, level.ahead_of(item))
+
+    def ahead_when_late(self, request: str, *, now: float) -> QueueAhead:
+        """Return what is sent before a queued request once it is late.
+
+        These are all others that can be on time; those that are late by then may well
+        be refused.
+        """
+        item = self.requests[request]
+        level = self.levels[item.service][item.priority]
+        level.advance(now)
+        on_time = level.sections[:2]
+        own = level.section_of[request] < 2
+        return self._with_more_urgent(
+            item,
+            QueueAhead(
+                requests=sum(len(section.items) for section in on_time) - own,
+                tokens=sum(section.tokens for section in on_time) - own * item.tokens,
+            ),
+        )
+
+    def _with_more_urgent(self, item: QueuedRequest, own: QueueAhead) -> QueueAhead:
         requests, tokens = own.requests, own.tokens
-        for priority, other in levels.items():
+        for priority, other in self.levels[item.service].items():
             if priority < item.priority:
                 requests += len(other.section_of)
                 tokens += sum(section.tokens for section in other.sections)
--- a/src/endivelug/forwarding/wait_reasons.py
+++ b/src/endivelug/forwarding/wait_reasons.py
@@ -34,6 +34,8 @@
         Other calls wait for the instance and go first.
     PREFILLING : str
         Another instance prefills a shared segment of the prompt, which is waited for.
+    OVERLOADED : str
+        The call would be sent too late for its caller.
     """
 
     NOT_REGISTERED = "no instance is registered"
@@ -49,6 +51,7 @@
     BACKLOG = "too much to prefill"
     QUEUED = "other requests go first"
     PREFILLING = "another one prefills the prefix"
+    OVERLOADED = "it would be sent too late"
 
 
 @dataclass(slots=True, kw_only=True)
