--- /dev/null
+++ b/src/endivelug/forwarding/buffers/__init__.py
@@ -0,0 +1,1 @@
+"""Bounds on the memory and descriptors that clients can make a process hold."""
