Check a request by its head, and read the limits of the VM

Cause: the configured body limit, the key and the route were checked only once the body had been read, and memoryMb, maxFds and headerTimeoutMs were not read at all. Change: the check is a function of the head and the announced length; the forwarder uses it again with the body. The settings and limits are read.

--- a/src/endivelug/forwarding/forwarder.py
+++ b/src/endivelug/forwarding/forwarder.py
@@ -1,13 +1,14 @@
 """Serves callers' requests: authorises, places, sends and retries or refuses them."""
 
 import asyncio
-import json
 import random
 from collections.abc import Callable
 
 from endivelug.exceptions import CallerLeft, EndivelugError
 from endivelug.forwarding.attempt import AttemptRunner
 from endivelug.forwarding.attempt_limits import RESPONSE_MARGIN_S
+from endivelug.forwarding.buffers.admission import Admission
+from endivelug.forwarding.buffers.head_check import Denied
 from endivelug.forwarding.call_recorder import CallRecorder, reason_of
 from endivelug.forwarding.calls import (
     AttemptOutcome,
@@ -27,7 +28,6 @@
 from endivelug.forwarding.refused_callers import RefusedCallers, request_digest
 from endivelug.forwarding.requests import InboundRequest, WireFormat
 from endivelug.forwarding.retry_budget import SharedRetryBudget
-from endivelug.forwarding.routes import Organisation
 from endivelug.forwarding.stream_recovery import StreamRecovery
 from endivelug.forwarding.upstream_connection import Headers
 from endivelug.forwarding.wait_reasons import NoPlacement
@@ -105,19 +105,36 @@
         self.on_sending = on_sending
         self.on_ended = on_ended
         self.closed = False
+        self.admission = Admission(
+            wire=wire,
+            view=view,
+            recorder=recorder,
+            clock=clock,
+            is_closed=lambda: self.closed,
+            retry_after_s=self._retry_after_s,
+            serve=self._serve_request,
+        )
 
     async def handle(
         self, method: str, target: str, headers: Headers, body: bytes, writer: Writer
     ) -> None:
         """Serve one request and send its response."""
-        now = self.clock()
         try:
             request = self.wire.decode_request(
-                method=method, target=target, headers=headers, now=now
+                method=method, target=target, headers=headers, now=self.clock()
             )
         except EndivelugError as error:
             await self._send_error("", writer, 400, str(error))
             return
+        await self._serve_request(request, body, writer)
+
+    async def _serve_request(
+        self, request: InboundRequest, body: bytes, writer: Writer
+    ) -> None:
+        # The time to read the body does not count.
+        now = self.clock()
+        request.deadline += now - request.received_at
+        request.received_at = now
         request.body = body
         call = await self._admit(request, writer)
         if call is None:
@@ -136,39 +153,23 @@
 
     async def _admit(self, request: InboundRequest, writer: Writer) -> Call | None:
         """Return the call of a valid request, or send an error response."""
-        configuration = self.view.configuration
-        if self.closed:
-            await self._send_error(request.id, writer, 503, "this VM is stopping", 0.0)
-            return None
-        if configuration is None or not self.view.complete:
+        checked = self.admission.check(request, len(request.body))
+        if isinstance(checked, Denied):
             await self._send_error(
-                request.id, writer, 503, "no configuration is known yet", 0.5
-            )
-            return None
-        if len(request.body) > configuration.limits.body_bytes:
-            await self._send_error(request.id, writer, 413, "the body is too long")
-            return None
-        route = configuration.route_for(request.host, request.path)
-        if route is None:
-            self.recorder.record_denied(
-                request, 404, configuration=configuration.version
+                request.id,
+                writer,
+                checked.status,
+                checked.reason,
+                checked.retry_after_s,
             )
-            await self._send_error(request.id, writer, 404, "no route has this path")
             return None
-        organisation: Organisation | None = None
-        if configuration.has_organisations and not route.public:
-            organisation = configuration.organisations_by_key.get(request.key or "")
-            if organisation is None:
-                self.recorder.record_denied(
-                    request, 401, configuration=configuration.version
-                )
-                await self._send_error(request.id, writer, 401, "the key is not known")
-                return None
+        route, configuration = checked.route, self.view.configuration
+        assert configuration is not None
         received = request.received_at
         return Call(
             request=request,
             route=route,
-            organisation=organisation,
+            organisation=checked.organisation,
             service=route.service_for(self.rng.random()),
             configuration_version=configuration.version,
             target_at=received + route.target_s,
@@ -365,7 +366,5 @@
         reason: str,
         retry_after_s: float | None = None,
     ) -> None:
-        headers = self.wire.refusal_headers(request_id, retry_after_s)
-        run = "not-run" if status in (400, 401, 404, 413, 503) else "may-have-run"
-        body = json.dumps({"status": status, "detail": reason, "run": run}).encode()
-        await writer.start(status, "", headers, body)
+        response = self.admission.response(request_id, status, reason, retry_after_s)
+        await writer.start(status, "", response.headers, response.body)
--- a/src/endivelug/forwarding/node_settings.py
+++ b/src/endivelug/forwarding/node_settings.py
@@ -30,6 +30,10 @@
     retry_ratio, retry_slack, retry_window_s : float
         Retry budget of all VMs together: retries per request, retries beyond that, and
         the length of the sliding window.
+    memory_mb : float
+        Memory of the VM in MiB; 0 if it is not stated.
+    max_fds : int
+        Descriptors that the process may open; 0 if it is not stated.
     """
 
     vm: str
@@ -48,3 +52,5 @@
     retry_ratio: float
     retry_slack: float
     retry_window_s: float
+    memory_mb: float = 0.0
+    max_fds: int = 0
--- a/src/endivelug/forwarding/routes.py
+++ b/src/endivelug/forwarding/routes.py
@@ -138,10 +138,11 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class CallerLimits:
-    """Limits on callers: bytes of headers and body, and idle time in seconds."""
+    """Limits on callers: bytes of headers and body, times of a head and idle times."""
 
     header_bytes: int
     body_bytes: int
+    header_timeout_s: float
     idle_timeout_s: float
 
 
--- a/src/endivelug/platform/records.py
+++ b/src/endivelug/platform/records.py
@@ -151,6 +151,7 @@
     return CallerLimits(
         header_bytes=int(document.get("maxHeaderBytes", 65536)),
         body_bytes=int(document.get("maxBodyBytes", 4194304)),
+        header_timeout_s=float(document.get("headerTimeoutMs", 3000)) / 1000,
         idle_timeout_s=float(document.get("idleTimeoutMs", 15000)) / 1000,
     )
 
--- a/src/endivelug/platform/settings.py
+++ b/src/endivelug/platform/settings.py
@@ -104,4 +104,6 @@
         retry_ratio=reader.number("bounds", "retryBudgetRatio"),
         retry_slack=reader.number("bounds", "retrySlack"),
         retry_window_s=reader.number("bounds", "budgetWindowS"),
+        memory_mb=reader.optional_number("limits", "memoryMb"),
+        max_fds=int(reader.optional_number("limits", "maxFds")),
     )
