Charge bodies before they are held, and bound the connections of callers

Cause: clients that send bodies short of their end, or open many connections, used up the memory and the descriptors of a process. Change: the front server checks heads before bodies, charges each read before it, pauses reading where the account is full, closes bodies, heads and idle connections without progress by stored deadlines, and pauses accepting at the bound. Requests that find no room are answered 503 with Retry-After before their body is read.

--- /dev/null
+++ b/src/endivelug/forwarding/buffers/request_reader.py
@@ -0,0 +1,217 @@
+"""Reads one request of a caller within the memory account."""
+
+import asyncio
+import sys
+from collections.abc import Awaitable, Callable
+from http.client import responses
+from typing import Any, cast
+
+from tornado.http1connection import HTTP1Connection
+from tornado.httputil import (
+    HTTPConnection,
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+
+from endivelug.forwarding.buffers.client_guard import ClientGuard
+from endivelug.forwarding.buffers.head_check import (
+    HeadAccepted,
+    HeadCheck,
+    HeadRefused,
+)
+from endivelug.forwarding.buffers.held_body import HeldBody
+from endivelug.forwarding.buffers.memory_account import SMALL_BODY_BYTES
+
+# Longer numbers are not converted; no body is as long.
+MAX_LENGTH_DIGITS = 18
+# Time for which the rest of a refused body is read and dropped. A connection that is
+# closed before would be reset, and the caller could lose the answer.
+LINGER_S = 2.0
+
+
+class RequestReader(HTTPMessageDelegate):
+    """Checks the head, reads the body, and passes the request on.
+
+    Parameters
+    ----------
+    guard : ClientGuard
+        Grants memory.
+    check_head : callable or None
+        Checks the head of a request that has a body.
+    on_begun : callable
+        Called once the head was received, or the connection ended without one.
+    on_complete : callable
+        Called with the reader when the request is complete.
+
+    Attributes
+    ----------
+    head_deadline : float
+        Time at which a head that has begun must be complete; infinite before.
+    """
+
+    def __init__(
+        self,
+        *,
+        connection: HTTPConnection,
+        guard: ClientGuard,
+        check_head: HeadCheck | None,
+        on_begun: Callable[["RequestReader"], None],
+        on_complete: Callable[["RequestReader"], None],
+    ) -> None:
+        self.connection = cast(HTTP1Connection, connection)
+        self.guard = guard
+        self.check_head = check_head
+        self.on_begun = on_begun
+        self.on_complete = on_complete
+        self.head_deadline = float("inf")
+        self.line: RequestStartLine
+        self.headers: HTTPHeaders
+        self.accepted: HeadAccepted | None = None
+        self.refused: HeadRefused | None = None
+        self.body: HeldBody | None = None
+        self._answered = False
+        self._linger: asyncio.TimerHandle | None = None
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes that were read from the socket and not yet used."""
+        stream: Any = self.connection.stream
+        # Tornado has no public name for the size of its read buffer.
+        return 0 if stream is None else stream._read_buffer_size
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> Awaitable[None] | None:
+        """Check the head, and wait for room if there is a body."""
+        assert isinstance(start_line, RequestStartLine)
+        self.on_begun(self)
+        self.line = start_line
+        self.headers = headers
+        length = _body_length(headers)
+        if length == 0:
+            return None
+        organisation, limit = None, SMALL_BODY_BYTES
+        if self.check_head is not None:
+            fields = list(headers.get_all())
+            checked = self.check_head(
+                start_line.method, start_line.path, fields, length or 0
+            )
+            if isinstance(checked, HeadRefused):
+                self._refuse_head(checked, length)
+            else:
+                self.accepted = checked
+                organisation, limit = checked.organisation, checked.body_limit
+        if self._answered:
+            return None
+        # The configured limit applies, with an answer of its own.
+        self.connection.set_max_body_size(sys.maxsize)
+        self.body = HeldBody(
+            guard=self.guard,
+            address=self.address,
+            organisation=organisation,
+            expected_bytes=length,
+            limit_bytes=limit,
+            close=self.close,
+        )
+        return None if self.refused is not None else self._wait_for_room()
+
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        """Hold a part of the body, and wait for room for the next one."""
+        body = self.body
+        if body is None or self._answered:
+            return None
+        if self.refused is not None:
+            self.guard.record_progress(body.holder, len(chunk))
+            return None
+        body.add(chunk)
+        if body.too_long:
+            self._answer(self._refusal(413, "the body is too long"))
+            return None
+        return self._wait_for_room()
+
+    def finish(self) -> None:
+        """Pass the complete request on."""
+        if self._answered:
+            self.close()
+        else:
+            self.on_complete(self)
+
+    def on_connection_close(self) -> None:
+        """Return the memory of a request whose connection closed before its end."""
+        self.on_begun(self)
+        self._release()
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._release()
+        self.connection.close()
+
+    def _release(self) -> None:
+        if self.body is not None:
+            self.body.release()
+        if self._linger is not None:
+            self._linger.cancel()
+
+    @property
+    def address(self) -> str:
+        """IP address of the client."""
+        context: Any = self.connection.context
+        return str(getattr(context, "remote_ip", ""))
+
+    def _refuse_head(self, refused: HeadRefused, length: int | None) -> None:
+        self.refused = refused
+        expects = "Expect" in self.headers
+        if expects or length is None or length > SMALL_BODY_BYTES:
+            self._answer(refused)
+        # A small body is read and dropped, and the connection stays usable.
+
+    def _wait_for_room(self) -> Awaitable[None] | None:
+        assert self.body is not None
+        granted = self.body.request_room()
+        return None if granted is None else self._finish_wait(granted)
+
+    async def _finish_wait(self, granted: asyncio.Future[bool]) -> None:
+        if not await granted and not self._answered:
+            self._answer(self._refusal(503, "the memory for requests is used up"))
+
+    def _refusal(self, status: int, reason: str) -> HeadRefused:
+        if self.accepted is None:
+            return HeadRefused(status=status, headers=[], body=b"")
+        return self.accepted.refuse(status, reason)
+
+    def _answer(self, refused: HeadRefused) -> None:
+        """Send a refusal before the body is read, then drop the rest of it."""
+        self._answered = True
+        self._release()
+        stream = self.connection.stream
+        if stream is None or stream.closed():
+            return
+        # Otherwise tornado would ask for the body, or answer that it is too long.
+        if "Expect" in self.headers:
+            del self.headers["Expect"]
+        self.connection.set_max_body_size(sys.maxsize)
+        fields = HTTPHeaders()
+        for name, value in refused.headers:
+            fields.add(name, value)
+        fields["Connection"] = "close"
+        fields["Content-Length"] = str(len(refused.body))
+        line = ResponseStartLine(
+            "HTTP/1.1", refused.status, responses.get(refused.status, "")
+        )
+        written = self.connection.write_headers(line, fields, refused.body)
+        written.add_done_callback(lambda future: future.exception())
+        loop = asyncio.get_running_loop()
+        self._linger = loop.call_later(LINGER_S, self.connection.close)
+
+
+def _body_length(headers: HTTPHeaders) -> int | None:
+    """Return the announced length of a body; None if it comes in chunks."""
+    if "Transfer-Encoding" in headers:
+        return None
+    text = headers.get("Content-Length", "0").partition(",")[0].strip()
+    # Tornado answers a malformed length with 400.
+    if not text.isdecimal() or not text.isascii():
+        return 0
+    return int(text) if len(text) <= MAX_LENGTH_DIGITS else sys.maxsize
--- a/src/endivelug/forwarding/front_server.py
+++ b/src/endivelug/forwarding/front_server.py
@@ -4,22 +4,26 @@
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 from http.client import responses
-from typing import Any, cast
+from typing import Any
 
-from tornado.http1connection import HTTP1Connection
 from tornado.httpserver import HTTPServer
 from tornado.httputil import (
     HTTPConnection,
     HTTPHeaders,
     HTTPMessageDelegate,
     HTTPServerConnectionDelegate,
-    RequestStartLine,
     ResponseStartLine,
 )
-from tornado.iostream import StreamClosedError
+from tornado.iostream import IOStream, StreamClosedError
 
 from endivelug._caller_presence import CALLER_CHECK_INTERVAL_S, closed_connections
 from endivelug.exceptions import CallerLeft
+from endivelug.forwarding.buffers.acceptor import Acceptor
+from endivelug.forwarding.buffers.client_guard import ClientGuard
+from endivelug.forwarding.buffers.head_check import HeadCheck
+from endivelug.forwarding.buffers.held_body import READ_BYTES
+from endivelug.forwarding.buffers.idle_connections import IdleConnections
+from endivelug.forwarding.buffers.request_reader import RequestReader
 from endivelug.forwarding.cluster_view import MAX_LOGGED_REASON, LogLine
 from endivelug.forwarding.upstream_connection import Headers
 
@@ -119,70 +123,20 @@
 Handler = Callable[[str, str, Headers, bytes, Writer], Awaitable[None]]
 
 
-class _Request(HTTPMessageDelegate):
-    """Reads one request and runs the handler in a separate task."""
-
-    def __init__(self, *, server: "FrontServer", connection: HTTPConnection) -> None:
-        self.server = server
-        self.connection = connection
-        self.body = bytearray()
-        self.line: RequestStartLine
-        self.headers: HTTPHeaders
-        self.task: asyncio.Task[None] | None = None
-
-    def headers_received(
-        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
-    ) -> Awaitable[None] | None:
-        """Store the request line and headers."""
-        assert isinstance(start_line, RequestStartLine)
-        self.server.idle.discard(self)
-        self.line = start_line
-        self.headers = headers
-        return None
-
-    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
-        """Append a chunk of the body."""
-        self.body += chunk
-        return None
-
-    def on_connection_close(self) -> None:
-        """Remove a connection that closed before its request was complete."""
-        self.server.idle.discard(self)
-
-    def finish(self) -> None:
-        """Start the handler of the complete request."""
-        writer = Writer(connection=self.connection, close_after=self.server.closing)
-        task = asyncio.get_running_loop().create_task(self._handle(writer))
-        tasks = self.server.tasks
-        tasks[writer] = task
-        task.add_done_callback(lambda ended: tasks.pop(writer, None))
-
-        def on_disconnect() -> None:
-            writer.disconnected = True
-            task.cancel()
-
-        cast(HTTP1Connection, self.connection).set_close_callback(on_disconnect)
-
-    async def _handle(self, writer: Writer) -> None:
-        headers = list(self.headers.get_all())
-        try:
-            await self.server.handler(
-                self.line.method, self.line.path, headers, bytes(self.body), writer
-            )
-        except CallerLeft:
-            self.server.left_total += 1
-        except Exception as error:
-            self.server.log(
-                "handler-failed",
-                path=self.line.path[:MAX_LOGGED_REASON],
-                reason=repr(error)[:MAX_LOGGED_REASON],
-            )
-            await writer.fail()
-
-
 class FrontServer(HTTPServerConnectionDelegate):
     """Accepts connections of callers and passes their requests to a handler.
 
+    Parameters
+    ----------
+    guard : ClientGuard
+        Grants memory for bodies.
+    check_head : callable or None
+        Checks requests that have a body by their head; None if all are handled.
+    max_connections : int
+        Connections that are accepted; 0 for any number.
+    header_timeout_s : callable
+        Returns the time for a head from its first byte.
+
     Attributes
     ----------
     closing : bool
@@ -191,33 +145,57 @@
         Requests in progress.
     left_total : int
         Callers that left while an answer was written that the handler does not log.
-    idle : set of _Request
+    idle : IdleConnections
         Readers of connections on which no request has begun.
     """
 
-    def __init__(self, *, handler: Handler, log: LogLine) -> None:
+    def __init__(
+        self,
+        *,
+        handler: Handler,
+        log: LogLine,
+        guard: ClientGuard,
+        check_head: HeadCheck | None = None,
+        max_connections: int = 0,
+        header_timeout_s: Callable[[], float] = lambda: IDLE_TIMEOUT_S,
+    ) -> None:
         self.handler = handler
         self.log = log
+        self.guard = guard
+        self.check_head = check_head
+        self.max_connections = max_connections
         self.closing = False
         self.tasks: dict[Writer, asyncio.Task[None]] = {}
         self.left_total = 0
-        self.idle: set[_Request] = set()
+        self.idle = IdleConnections(guard=guard, header_timeout_s=header_timeout_s)
         self.server = HTTPServer(
             self,
             idle_connection_timeout=IDLE_TIMEOUT_S,
             body_timeout=IDLE_TIMEOUT_S,
             max_header_size=MAX_HEADER_BYTES,
             max_body_size=MAX_BODY_BYTES,
-            max_buffer_size=MAX_BODY_BYTES + MAX_HEADER_BYTES,
+            chunk_size=READ_BYTES,
+        )
+        self.acceptor = Acceptor(
+            has_room=self._has_room,
+            on_accepted=self._accepted,
+            max_buffer_size=2 * MAX_HEADER_BYTES,
+            read_chunk_size=READ_BYTES,
         )
 
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
         """Return the reader of the next request on a connection."""
-        request = _Request(server=self, connection=request_conn)
-        self.idle.add(request)
-        return request
+        reader = RequestReader(
+            connection=request_conn,
+            guard=self.guard,
+            check_head=self.check_head,
+            on_begun=self.idle.discard,
+            on_complete=self._begin,
+        )
+        self.idle.add(reader)
+        return reader
 
     def on_close(self, server_conn: object) -> None:
         """Ignore the end of a connection; each request has its own close callback."""
@@ -231,23 +209,81 @@
                 if writer.connection in closed:
                     writer.disconnected = True
                     task.cancel()
+            self.guard.sweep()
+            self.idle.sweep(connections=self.connections)
+
+    @property
+    def connections(self) -> int:
+        """Number of open connections."""
+        return len(self.server._connections)
 
     def listen(self, address: str) -> None:
         """Listen on an IP address and port."""
         host, _, port = address.rpartition(":")
-        self.server.listen(int(port), address=host, backlog=1024, reuse_port=False)
+        self.acceptor.listen(host, int(port))
 
     def stop_accepting(self) -> None:
         """Refuse new connections."""
-        self.server.stop()
+        self.acceptor.stop()
 
     def close_idle(self) -> None:
         """Close the connections on which no request has begun."""
-        for request in list(self.idle):
-            self.idle.discard(request)
-            cast(HTTP1Connection, request.connection).close()
+        self.idle.close_all()
 
     async def close(self) -> None:
         """Stop listening and close every connection."""
-        self.server.stop()
+        self.acceptor.stop()
         await self.server.close_all_connections()
+
+    def _accepted(self, stream: IOStream, address: tuple[str, int]) -> None:
+        self.server.handle_stream(stream, address)
+
+    def _has_room(self) -> bool:
+        """Return whether a connection may be accepted; at the bound, make room."""
+        if not self.max_connections or self.connections < self.max_connections:
+            return True
+        if not self.idle.close_oldest():
+            self.guard.close_slowest()
+        # A closed connection is counted until its server has noticed it.
+        return False
+
+    def _begin(self, reader: RequestReader) -> None:
+        """Start the handler of a complete request in a separate task."""
+        writer = Writer(connection=reader.connection, close_after=self.closing)
+        task = asyncio.get_running_loop().create_task(self._handle(reader, writer))
+        tasks = self.tasks
+        tasks[writer] = task
+
+        def on_end(ended: asyncio.Task[None]) -> None:
+            tasks.pop(writer, None)
+            if reader.body is not None:
+                reader.body.release()
+
+        task.add_done_callback(on_end)
+
+        def on_disconnect() -> None:
+            writer.disconnected = True
+            task.cancel()
+
+        reader.connection.set_close_callback(on_disconnect)
+
+    async def _handle(self, reader: RequestReader, writer: Writer) -> None:
+        line, refused = reader.line, reader.refused
+        try:
+            body = b"" if reader.body is None else reader.body.complete()
+            if refused is not None:
+                await writer.start(refused.status, "", refused.headers, refused.body)
+            elif reader.accepted is not None:
+                await reader.accepted.serve(body, writer)
+            else:
+                headers = list(reader.headers.get_all())
+                await self.handler(line.method, line.path, headers, body, writer)
+        except CallerLeft:
+            self.left_total += 1
+        except Exception as error:
+            self.log(
+                "handler-failed",
+                path=line.path[:MAX_LOGGED_REASON],
+                reason=repr(error)[:MAX_LOGGED_REASON],
+            )
+            await writer.fail()
--- a/src/endivelug/forwarding/node.py
+++ b/src/endivelug/forwarding/node.py
@@ -10,6 +10,7 @@
 from endivelug.forwarding.adapter import Platform
 from endivelug.forwarding.attempt import AttemptRunner
 from endivelug.forwarding.background_jobs import BackgroundJobs
+from endivelug.forwarding.buffers.front import make_front_server
 from endivelug.forwarding.cache_store_watch import CacheStoreWatch
 from endivelug.forwarding.cache_tracker import CacheTracker
 from endivelug.forwarding.call_recorder import CallRecorder
@@ -21,7 +22,6 @@
 from endivelug.forwarding.dispatcher import Dispatcher
 from endivelug.forwarding.first_bytes import FirstByteRecorder
 from endivelug.forwarding.forwarder import UNREACHABLE_AVOID_S, Forwarder
-from endivelug.forwarding.front_server import FrontServer
 from endivelug.forwarding.instances import Instance
 from endivelug.forwarding.loop_watch import LoopWatch
 from endivelug.forwarding.node_metrics import NodeMetrics
@@ -199,9 +199,13 @@
         )
         self.loop_watch = LoopWatch(clock=self.clock, log=log)
         self.forwarder = self._make_forwarder()
-        self.front_server = FrontServer(handler=self.forwarder.handle, log=log)
+        self.front_server = make_front_server(
+            self.forwarder, settings=settings, metrics=self.metrics
+        )
         self.status_pages = StatusPages(
-            metrics=self.metrics, is_ready=lambda: self.is_ready, log=log
+            metrics=self.metrics,
+            is_ready=lambda: self.is_ready,
+            guard=self.front_server.guard,
         )
         self._add_gauges()
         self.stopping = False
--- a/src/endivelug/forwarding/status_pages.py
+++ b/src/endivelug/forwarding/status_pages.py
@@ -2,11 +2,14 @@
 
 from collections.abc import Callable
 
-from endivelug.forwarding.cluster_view import LogLine
-from endivelug.forwarding.front_server import FrontServer, Writer
+from endivelug.forwarding.buffers.client_guard import ClientGuard
+from endivelug.forwarding.front_server import FrontServer, Handler, Writer
 from endivelug.forwarding.node_metrics import NodeMetrics
 from endivelug.forwarding.upstream_connection import Headers
 
+# Connections to each of the two ports; the oldest idle one is closed for a new one.
+MAX_CONNECTIONS = 16
+
 
 class StatusPages:
     """Answers readiness checks, and requests for the metrics.
@@ -15,15 +18,29 @@
     ----------
     is_ready : callable
         Whether the platform should send new connections to this VM.
+    guard : ClientGuard
+        Grants memory for requests.
     """
 
     def __init__(
-        self, *, metrics: NodeMetrics, is_ready: Callable[[], bool], log: LogLine
+        self,
+        *,
+        metrics: NodeMetrics,
+        is_ready: Callable[[], bool],
+        guard: ClientGuard,
     ) -> None:
         self.metrics = metrics
         self.is_ready = is_ready
-        self.readiness_server = FrontServer(handler=self._answer_ready, log=log)
-        self.metrics_server = FrontServer(handler=self._answer_metrics, log=log)
+        self.readiness_server = self._server(self._answer_ready, guard)
+        self.metrics_server = self._server(self._answer_metrics, guard)
+
+    def _server(self, handler: Handler, guard: ClientGuard) -> FrontServer:
+        return FrontServer(
+            handler=handler,
+            log=guard.log,
+            guard=guard,
+            max_connections=MAX_CONNECTIONS,
+        )
 
     def listen(self, *, ready: str, metrics: str) -> None:
         """Listen on the two addresses, each an IP address and port."""
