Bound what is held for slow readers, and the connections to upstreams

Cause: a caller that does not read kept up to 512 KiB of read-ahead and its connections open for good; connections to upstreams were not counted against the descriptors; a request with a long body was copied to join it with its head. Change: a response that its caller does not read is closed by a deadline that follows a minimum rate, or sooner while the account is overdrawn; what is read from upstreams is charged, and at most 64 KiB of it wait unread (16 KiB while the account is full); an attempt waits for a descriptor and does not blame the upstream; long bodies are written beside their head. Checked: the seven cases of test_misbehaving_clients pass; the tests of router_process, the connection pool, the upstream connection and the soak pass.

--- a/src/endivelug/exceptions.py
+++ b/src/endivelug/exceptions.py
@@ -125,6 +125,10 @@
     """No connection to the upstream was made, so nothing ran; use another upstream."""
 
 
+class NoDescriptor(UpstreamUnreachable):
+    """No descriptor is left for a connection, so nothing was sent; retry later."""
+
+
 class UpstreamNotListening(UpstreamUnreachable):
     """Nothing listens at the upstream's address, as after a crash; use another one."""
 
--- a/src/endivelug/forwarding/attempt.py
+++ b/src/endivelug/forwarding/attempt.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from endivelug.exceptions import (
+    NoDescriptor,
     UpstreamBroken,
     UpstreamNotListening,
     UpstreamUnreachable,
@@ -110,7 +111,7 @@
                 request_id=call.request.id,
             )
         except UpstreamUnreachable as error:
-            return NotSent(reason=str(error))
+            return NotSent(reason=str(error), local=isinstance(error, NoDescriptor))
         info: ResponseInfo | None = None
         try:
             # Connecting may have taken a while.
--- a/src/endivelug/forwarding/buffers/acceptor.py
+++ b/src/endivelug/forwarding/buffers/acceptor.py
@@ -12,24 +12,6 @@
 MAX_ACCEPTED_A_TURN = 128
 # Pause after the bound is reached or the process has no descriptor left.
 PAUSE_S = 0.05
-# Part of the descriptors that is kept for upstreams, peers, the store, and the ports of
-# the operators.
-DESCRIPTOR_RESERVE_PART = 0.25
-MIN_DESCRIPTOR_RESERVE = 48
-
-
-def max_connections(max_fds: int) -> int:
-    """Return how many connections of clients a process may have; 0 for any number.
-
-    Examples
-    --------
-    >>> max_connections(1638), max_connections(0)
-    (1229, 0)
-    """
-    if max_fds <= 0:
-        return 0
-    reserve = max(MIN_DESCRIPTOR_RESERVE, int(max_fds * DESCRIPTOR_RESERVE_PART))
-    return max(1, max_fds - reserve)
 
 
 class Acceptor:
--- a/src/endivelug/forwarding/buffers/client_guard.py
+++ b/src/endivelug/forwarding/buffers/client_guard.py
@@ -153,7 +153,7 @@
 
     def charge_connections(self, count: int) -> None:
         """Charge what connections and heads hold; their number is bounded elsewhere."""
-        self.account.held_bytes += count - self.connections_bytes
+        self.account.add(count - self.connections_bytes)
         self.connections_bytes = count
 
     def close_slowest(self) -> bool:
--- a/src/endivelug/forwarding/buffers/front.py
+++ b/src/endivelug/forwarding/buffers/front.py
@@ -1,7 +1,7 @@
 """The callers' server of a VM within the limits of its settings."""
 
-from endivelug.forwarding.buffers.acceptor import max_connections
 from endivelug.forwarding.buffers.client_guard import ClientGuard
+from endivelug.forwarding.buffers.descriptors import DescriptorBounds
 from endivelug.forwarding.forwarder import Forwarder
 from endivelug.forwarding.front_server import IDLE_TIMEOUT_S, FrontServer
 from endivelug.forwarding.node_metrics import NodeMetrics
@@ -26,14 +26,27 @@
             return IDLE_TIMEOUT_S
         return configuration.limits.header_timeout_s
 
+    pool = forwarder.runner.pool
+    bounds = DescriptorBounds(max_fds=settings.max_fds)
     server = FrontServer(
         handler=forwarder.handle,
         check_head=forwarder.admission.check_head,
         guard=guard,
-        max_connections=max_connections(settings.max_fds),
+        max_connections=lambda: bounds.max_callers(upstreams=len(pool.opened)),
         header_timeout_s=header_timeout_s,
         log=view.log,
     )
+
+    def may_open() -> bool:
+        callers = server.connections
+        if bounds.upstream_fits(callers=callers, upstreams=len(pool.opened)):
+            return True
+        if bounds.upstream_fits(callers=callers, upstreams=pool.count_open()):
+            return True
+        return server.idle.close_oldest()
+
+    pool.account = guard.account
+    pool.may_open = may_open
     metrics.gauges["connections"] = lambda: server.connections
     metrics.gauges["accept_pauses"] = lambda: server.acceptor.pauses
     return server
--- a/src/endivelug/forwarding/buffers/memory_account.py
+++ b/src/endivelug/forwarding/buffers/memory_account.py
@@ -185,6 +185,10 @@
         """Charge bytes to a holder; the caller has asked ``fits`` where it can wait."""
         self.holders.add(holder)
         holder.held_bytes += count
+        self.add(count)
+
+    def add(self, count: int) -> None:
+        """Charge or return bytes that no client can be closed for."""
         self.held_bytes += count
         if self.held_bytes > self.peak_bytes:
             self.peak_bytes = self.held_bytes
--- a/src/endivelug/forwarding/buffers/request_reader.py
+++ b/src/endivelug/forwarding/buffers/request_reader.py
@@ -157,8 +157,7 @@
     @property
     def address(self) -> str:
         """IP address of the client."""
-        context: Any = self.connection.context
-        return str(getattr(context, "remote_ip", ""))
+        return remote_address(self.connection)
 
     def _refuse_head(self, refused: HeadRefused, length: int | None) -> None:
         self.refused = refused
@@ -206,6 +205,12 @@
         self._linger = loop.call_later(LINGER_S, self.connection.close)
 
 
+def remote_address(connection: HTTPConnection) -> str:
+    """Return the IP address of a client."""
+    context: Any = cast(HTTP1Connection, connection).context
+    return str(getattr(context, "remote_ip", ""))
+
+
 def _body_length(headers: HTTPHeaders) -> int | None:
     """Return the announced length of a body; None if it comes in chunks."""
     if "Transfer-Encoding" in headers:
--- a/src/endivelug/forwarding/calls.py
+++ b/src/endivelug/forwarding/calls.py
@@ -162,9 +162,16 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class NotSent:
-    """No connection was established, so the request did not run."""
+    """No connection was established, so the request did not run.
+
+    Attributes
+    ----------
+    local : bool
+        Whether this VM, and not the upstream, is the cause.
+    """
 
     reason: str
+    local: bool = False
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/endivelug/forwarding/connection_pool.py
+++ b/src/endivelug/forwarding/connection_pool.py
@@ -10,7 +10,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from endivelug.exceptions import UpstreamBroken, UpstreamUnreachable
+from endivelug.exceptions import NoDescriptor, UpstreamBroken, UpstreamUnreachable
+from endivelug.forwarding.buffers.memory_account import MemoryAccount
 from endivelug.forwarding.response_parser import (
     MAX_RESPONSE_BYTES,
     BodyData,
@@ -29,6 +30,8 @@
 # A connection is not reused within this time before the upstream's idle timeout.
 IDLE_MARGIN_S = 0.5
 MAX_IDLE_PER_ADDRESS = 64
+# Interval in which a request that has no descriptor looks for one.
+DESCRIPTOR_CHECK_INTERVAL_S = 0.02
 # A connection is closed after so many requests, all of which it remembers.
 MAX_REQUESTS = 512
 
@@ -57,11 +60,20 @@
     ----------
     opened_total : int
         Connections opened so far.
+    opened : set of UpstreamConnection
+        Connections that were opened and may still be open.
+    account : MemoryAccount or None
+        Charged for responses that are read from upstreams.
+    may_open : callable
+        Returns whether a descriptor is left for a connection that carries a request.
     """
 
     clock: Callable[[], float]
     idle: dict[tuple[str, Use], list[_IdleEntry]] = field(default_factory=dict)
     opened_total: int = 0
+    opened: set[UpstreamConnection] = field(default_factory=set)
+    account: MemoryAccount | None = None
+    may_open: Callable[[], bool] = lambda: True
 
     async def acquire(
         self,
@@ -84,17 +96,30 @@
 
         Raises
         ------
+        NoDescriptor
+            If no descriptor was left in time.
         UpstreamUnreachable
             If no connection was made in time.
         """
         use = Use.CONTROL if request_id is None else Use.CALLS
         connection = self._take_idle(address, use, max_idle_s, hash(request_id))
         if connection is None:
+            if use is Use.CALLS:
+                await self._wait_for_descriptor(address, timeout_s)
             connection = await self.open(address, timeout_s=timeout_s)
             connection.use = use
         connection.carried.add(hash(request_id))
         return connection
 
+    async def _wait_for_descriptor(self, address: str, timeout_s: float) -> None:
+        ends_at = self.clock() + timeout_s
+        while not self.may_open():
+            if self.clock() >= ends_at:
+                raise NoDescriptor(
+                    f"no descriptor is left for {address}; look at the callers"
+                )
+            await asyncio.sleep(DESCRIPTOR_CHECK_INTERVAL_S)
+
     async def open(self, address: str, *, timeout_s: float) -> UpstreamConnection:
         """Return a new connection.
 
@@ -104,7 +129,15 @@
             If no connection was made in time.
         """
         self.opened_total += 1
-        return await connect(address, timeout_s=timeout_s, clock=self.clock)
+        connection = await connect(address, timeout_s=timeout_s, clock=self.clock)
+        connection.account = self.account
+        self.opened.add(connection)
+        return connection
+
+    def count_open(self) -> int:
+        """Return the number of open connections."""
+        self.opened = {item for item in self.opened if not item.closed}
+        return len(self.opened)
 
     def _take_idle(
         self, address: str, use: Use, max_idle_s: float, request: int
@@ -134,6 +167,7 @@
         idle_s : float or None
             Idle timeout that the upstream stated, if any.
         """
+        connection.drop_kept()
         entries = self.idle.setdefault((address, connection.use), [])
         used_up = len(connection.carried) >= MAX_REQUESTS
         full = len(entries) >= MAX_IDLE_PER_ADDRESS
@@ -153,6 +187,7 @@
 
     def close_expired(self) -> None:
         """Close the connections that have been idle for too long."""
+        self.count_open()
         now = self.clock()
         for key, entries in list(self.idle.items()):
             usable = []
@@ -245,6 +280,7 @@
         match await connection.next_event():
             case BodyData(data=data):
                 body += data
+                connection.keep(len(data))
                 if len(body) > MAX_RESPONSE_BYTES:
                     raise UpstreamBroken(
                         "the answer is too long to be kept; look at the upstream"
--- a/src/endivelug/forwarding/forwarder.py
+++ b/src/endivelug/forwarding/forwarder.py
@@ -264,7 +264,7 @@
         match outcome:
             case NotRun(other_instance=other_instance):
                 self.avoid(name, MOVED_AVOID_S if other_instance else REFUSED_AVOID_S)
-            case NotSent():
+            case NotSent(local=False):
                 self.avoid(name, UNREACHABLE_AVOID_S)
             case Lost() | Failed():
                 load.failures += 1
--- a/src/endivelug/forwarding/front_server.py
+++ b/src/endivelug/forwarding/front_server.py
@@ -23,7 +23,8 @@
 from endivelug.forwarding.buffers.head_check import HeadCheck
 from endivelug.forwarding.buffers.held_body import READ_BYTES
 from endivelug.forwarding.buffers.idle_connections import IdleConnections
-from endivelug.forwarding.buffers.request_reader import RequestReader
+from endivelug.forwarding.buffers.request_reader import RequestReader, remote_address
+from endivelug.forwarding.buffers.unread_response import WRITE_BYTES, UnreadResponse
 from endivelug.forwarding.cluster_view import MAX_LOGGED_REASON, LogLine
 from endivelug.forwarding.upstream_connection import Headers
 
@@ -37,6 +38,11 @@
 class Writer:
     """Writes the response to one request of a caller.
 
+    Parameters
+    ----------
+    guard : ClientGuard or None
+        Closes a caller that does not read; None if none is closed.
+
     Attributes
     ----------
     close_after : bool
@@ -45,9 +51,17 @@
         Whether the caller closed the connection.
     """
 
-    def __init__(self, *, connection: HTTPConnection, close_after: bool) -> None:
+    def __init__(
+        self,
+        *,
+        connection: HTTPConnection,
+        close_after: bool,
+        guard: ClientGuard | None = None,
+    ) -> None:
         self.connection = connection
         self.close_after = close_after
+        self.guard = guard
+        self.unread: UnreadResponse | None = None
         self.disconnected = False
         self.head_sent = False
 
@@ -63,15 +77,18 @@
         if body is not None:
             fields["Content-Length"] = str(len(body))
         line = ResponseStartLine("HTTP/1.1", status, reason or _default_reason(status))
-        written = self.connection.write_headers(line, fields, body or b"")
+        first = (body or b"")[:WRITE_BYTES]
+        written = self.connection.write_headers(line, fields, first)
         self.head_sent = True
-        await self._finish_write(written)
+        await self._finish_write(written, len(first))
         if body is not None:
+            for start in range(WRITE_BYTES, len(body), WRITE_BYTES):
+                await self.write(body[start : start + WRITE_BYTES])
             self.connection.finish()
 
     async def write(self, data: bytes) -> None:
         """Send a chunk of the body."""
-        await self._finish_write(self.connection.write(data))
+        await self._finish_write(self.connection.write(data), len(data))
 
     def check_connected(self) -> None:
         """Look whether the caller has closed its connection.
@@ -108,9 +125,23 @@
         if stream is not None:
             stream.close()
 
-    async def _finish_write(self, written: Awaitable[None]) -> None:
+    def release(self) -> None:
+        """Return the memory that is charged for the response."""
+        if self.unread is not None:
+            self.unread.release()
+
+    async def _finish_write(self, written: asyncio.Future[None], count: int) -> None:
         try:
-            await written
+            if written.done() or self.guard is None:
+                await written
+                return
+            if self.unread is None:
+                self.unread = UnreadResponse(
+                    guard=self.guard,
+                    address=remote_address(self.connection),
+                    close=self.abort,
+                )
+            await self.unread.wait(written, count)
         except StreamClosedError as error:
             self.disconnected = True
             raise CallerLeft("the connection is closed; drop the request") from error
@@ -132,8 +163,8 @@
         Grants memory for bodies.
     check_head : callable or None
         Checks requests that have a body by their head; None if all are handled.
-    max_connections : int
-        Connections that are accepted; 0 for any number.
+    max_connections : callable
+        Returns how many connections are accepted; 0 for any number.
     header_timeout_s : callable
         Returns the time for a head from its first byte.
 
@@ -156,7 +187,7 @@
         log: LogLine,
         guard: ClientGuard,
         check_head: HeadCheck | None = None,
-        max_connections: int = 0,
+        max_connections: Callable[[], int] = lambda: 0,
         header_timeout_s: Callable[[], float] = lambda: IDLE_TIMEOUT_S,
     ) -> None:
         self.handler = handler
@@ -240,7 +271,8 @@
 
     def _has_room(self) -> bool:
         """Return whether a connection may be accepted; at the bound, make room."""
-        if not self.max_connections or self.connections < self.max_connections:
+        limit = self.max_connections()
+        if not limit or self.connections < limit:
             return True
         if not self.idle.close_oldest():
             self.guard.close_slowest()
@@ -249,13 +281,16 @@
 
     def _begin(self, reader: RequestReader) -> None:
         """Start the handler of a complete request in a separate task."""
-        writer = Writer(connection=reader.connection, close_after=self.closing)
+        writer = Writer(
+            connection=reader.connection, close_after=self.closing, guard=self.guard
+        )
         task = asyncio.get_running_loop().create_task(self._handle(reader, writer))
         tasks = self.tasks
         tasks[writer] = task
 
         def on_end(ended: asyncio.Task[None]) -> None:
             tasks.pop(writer, None)
+            writer.release()
             if reader.body is not None:
                 reader.body.release()
 
--- a/src/endivelug/forwarding/response_parser.py
+++ b/src/endivelug/forwarding/response_parser.py
@@ -130,6 +130,11 @@
         """Record that the upstream has closed the connection."""
         self._at_end = True
 
+    @property
+    def unparsed_bytes(self) -> int:
+        """Bytes received and not yet given to the parser."""
+        return len(self._unparsed)
+
     @property
     def has_work(self) -> bool:
         """Whether another step may find something in what was received."""
--- a/src/endivelug/forwarding/status_pages.py
+++ b/src/endivelug/forwarding/status_pages.py
@@ -39,7 +39,7 @@
             handler=handler,
             log=guard.log,
             guard=guard,
-            max_connections=MAX_CONNECTIONS,
+            max_connections=lambda: MAX_CONNECTIONS,
         )
 
     def listen(self, *, ready: str, metrics: str) -> None:
--- a/src/endivelug/forwarding/upstream_connection.py
+++ b/src/endivelug/forwarding/upstream_connection.py
@@ -20,6 +20,7 @@
     UpstreamNotListening,
     UpstreamUnreachable,
 )
+from endivelug.forwarding.buffers.memory_account import MemoryAccount
 from endivelug.forwarding.response_parser import (
     BodyData,
     BodyEnd,
@@ -31,8 +32,13 @@
     new_parser,
 )
 
-# Reading from the socket pauses when more received body bytes than this are unread.
-MAX_BUFFERED_BYTES = 256 * 1024
+# Reading from the socket pauses when more received body bytes than this are unread:
+# hundreds of events of a stream, while its caller pauses.
+MAX_BUFFERED_BYTES = 64 * 1024
+# The same while the memory for clients is used up.
+MIN_BUFFERED_BYTES = 16 * 1024
+# Longest body that is copied behind its head, to send both in one call.
+COPY_BYTES = 16 * 1024
 # Pause after a step of parsing, for each part that it found. It leaves most of the
 # processor to other requests while an upstream sends tiny parts without end.
 PART_PAUSE_S = 0.0001
@@ -80,10 +86,17 @@
         Clock time after which an idle connection must not be reused.
     carried : set of int
         Hashes of the ids of the requests that it was given to carry.
+    account : MemoryAccount or None
+        Charged for what is read from the upstream and not yet passed on.
+    kept_bytes : int
+        Bytes of the response that its reader keeps until the connection is released.
     """
 
     def __init__(self, *, clock: Callable[[], float]) -> None:
         self.clock = clock
+        self.account: MemoryAccount | None = None
+        self.kept_bytes = 0
+        self._charged_bytes = 0
         self.last_byte_at = clock()
         self.idle_until = float("inf")
         self.use = Use.CALLS
@@ -144,6 +157,18 @@
         self._parser.receive(data)
         if self._next_step is None:
             self._parse()
+        else:
+            self._update_charge()
+
+    def keep(self, count: int) -> None:
+        """Charge bytes that the reader of the response keeps."""
+        self.kept_bytes += count
+        self._update_charge()
+
+    def drop_kept(self) -> None:
+        """Return the charge for what the reader of the response kept."""
+        self.kept_bytes = 0
+        self._update_charge()
 
     def send(
         self,
@@ -176,7 +201,7 @@
             h11.Request(method=head.method, target=head.target, headers=headers)
         )
         assert data is not None
-        tail = encoder.send(h11.Data(data=body)) if body else b""
+        tail = encoder.send(h11.Data(data=body)) if body else None
         end = encoder.send(h11.EndOfMessage())
         self._events.clear()
         self._buffered_bytes = 0
@@ -184,7 +209,11 @@
         self._parser = ResponseParser(
             parser=encoder, method=head.method, accepts=accepts
         )
-        self._transport.write(data + (tail or b"") + (end or b""))
+        if tail is not None and len(tail) > COPY_BYTES:
+            # One string of all parts would hold a long body twice.
+            self._transport.writelines([data, tail, end or b""])
+        else:
+            self._transport.write(data + (tail or b"") + (end or b""))
 
     async def next_event(self) -> ResponseEvent:
         """Return the next event of the response.
@@ -220,10 +249,29 @@
         )
 
     def abort(self) -> None:
-        """Close at once without flushing, so that the upstream notices immediately."""
+        """Close at once without flushing, so that the upstream notices immediately.
+
+        Nobody reads the response any more.
+        """
+        self._close()
+        if self.account is not None:
+            self.account.add(-self._charged_bytes)
+            self.account = None
+
+    def _close(self) -> None:
         self.closed = True
         self._transport.abort()
 
+    def _update_charge(self) -> None:
+        if self.account is None:
+            return
+        held = self.kept_bytes + self._buffered_bytes
+        if self._parser is not None:
+            held += self._parser.unparsed_bytes
+        if held != self._charged_bytes:
+            self.account.add(held - self._charged_bytes)
+            self._charged_bytes = held
+
     def _parse(self) -> None:
         """Parse one step of what was received, and schedule the next one."""
         self._next_step = None
@@ -255,9 +303,13 @@
 
     def _update_reading(self) -> None:
         """Read from the socket only while little is unparsed or unread."""
+        self._update_charge()
         if self._lost or self._transport.is_closing():
             return
-        limit = MAX_BUFFERED_BYTES // 2 if self._paused else MAX_BUFFERED_BYTES
+        full = self.account is not None and self.account.is_full
+        limit = MIN_BUFFERED_BYTES if full else MAX_BUFFERED_BYTES
+        if self._paused:
+            limit //= 2
         pause = self._next_step is not None or self._buffered_bytes > limit
         if pause and not self._paused:
             self._transport.pause_reading()
@@ -278,7 +330,9 @@
             self._next_step = None
         self._failure = UpstreamBroken(f"{reason}; use another connection")
         if not self.closed:
-            self.abort()
+            self._close()
+        # What had come before may still be read.
+        self._update_charge()
         self._wake_reader()
 
     def _wake_reader(self) -> None:
