--- a/src/endivelug/forwarding/buffers/request_reader.py
+++ b/src/endivelug/forwarding/buffers/request_reader.py
@@ -15,6 +15,7 @@
     ResponseStartLine,
 )
 
+from endivelug._caller_presence import closed_connections
 from endivelug.forwarding.buffers.client_guard import ClientGuard
 from endivelug.forwarding.buffers.head_check import (
     HeadAccepted,
@@ -24,6 +25,8 @@
 from endivelug.forwarding.buffers.held_body import HeldBody
 from endivelug.forwarding.buffers.memory_account import SMALL_BODY_BYTES
 
+# Interval in which a body that waits for room looks whether its caller has left.
+CLOSED_CHECK_INTERVAL_S = 1.0
 # Longer numbers are not converted; no body is as long.
 MAX_LENGTH_DIGITS = 18
 # Time for which the rest of a refused body is read and dropped. A connection that is
@@ -172,7 +175,11 @@
         return None if granted is None else self._finish_wait(granted)
 
     async def _finish_wait(self, granted: asyncio.Future[bool]) -> None:
-        if not await granted and not self._answered:
+        # Nothing is read meanwhile, so the end of the connection has to be looked for.
+        while not (await asyncio.wait({granted}, timeout=CLOSED_CHECK_INTERVAL_S))[0]:
+            if closed_connections([self.connection]):
+                self.close()
+        if not granted.result() and not self._answered:
             self._answer(self._refusal(503, "the memory for requests is used up"))
 
     def _refusal(self, status: int, reason: str) -> HeadRefused:
