--- a/measurements/_service_model.py
+++ b/measurements/_service_model.py
@@ -295,7 +295,9 @@
         service = Service(name=SERVICE, max_connections=100_000, engine=engine)
         self.configuration = RoutingConfiguration(
             version=1,
-            limits=CallerLimits(header_bytes=1, body_bytes=1, idle_timeout_s=1.0),
+            limits=CallerLimits(
+                header_bytes=1, body_bytes=1, header_timeout_s=3.0, idle_timeout_s=1.0
+            ),
             services={SERVICE: service},
         )
         self.nodes: dict[str, Upstream] = {}
--- a/src/endivelug/platform/settings.py
+++ b/src/endivelug/platform/settings.py
@@ -120,4 +120,6 @@
         ),
         quota_over=reader.number_or("bounds", "quotaOver", DEFAULT_QUOTA_OVER),
         quota_slack=reader.number_or("bounds", "quotaSlack", DEFAULT_QUOTA_SLACK),
+        memory_mb=reader.optional_number("limits", "memoryMb"),
+        max_fds=int(reader.optional_number("limits", "maxFds")),
     )
