--- a/measurements/_quota_model.py
+++ b/measurements/_quota_model.py
@@ -178,6 +178,12 @@
         for vm, limiter in enumerate(self.limiters):
             limiter.represented_vms = self.group_of.count(self.group_of[vm])
 
+    def settle(self) -> None:
+        """Let all VMs know how many others report to them."""
+        for limiter in self.limiters:
+            limiter.end_block({}, now=-10.0)
+            limiter.end_block({}, now=0.0)
+
     def cut_at(self, at: float) -> None:
         """Apply the groups of a later time."""
         self._at(at, self._update_groups)
--- a/src/endivelug/forwarding/quotas/quota_limiter.py
+++ b/src/endivelug/forwarding/quotas/quota_limiter.py
@@ -76,7 +76,6 @@
         self.represented_vms = 1
         self._share = 1.0
         self._lower_share_at: float | None = None
-        self._joined_until: float | None = None
         self._states: dict[str, _State] = {}
 
     @property
@@ -84,6 +83,11 @@
         """Part of each limit that this VM and those that report to it may use."""
         return self._share
 
+    def level_of(self, organisation: str) -> float | None:
+        """Return the level of an organisation with state."""
+        state = self._states.get(organisation)
+        return None if state is None else state.bucket.level
+
     def organisations(self) -> int:
         """Return the number of organisations with state."""
         return len(self._states)
@@ -155,8 +159,6 @@
         quotas : mapping of str to Quota
             Quotas in force by organisation.
         """
-        if self._joined_until is None:
-            self._joined_until = now + self.tolerance.window_s
         self._update_share(now)
         for organisation in self.shared.keys() - self._states.keys():
             # Demand at other VMs lowers the level here, too.
@@ -189,10 +191,6 @@
 
     def _add(self, organisation: str, quota: Quota, *, now: float) -> _State:
         bucket = Bucket.full(quota, self.tolerance, now=now, share=self._share)
-        joining = self._joined_until is None or now < self._joined_until
-        if joining and self._others(organisation).offered >= bucket.rate:
-            # The bucket was in use before this VM joined.
-            bucket.level = 0.0
         state = _State(bucket=bucket, use=OwnUse(reported_at=now), demand_at=now)
         self._states[organisation] = state
         return state
--- a/src/endivelug/forwarding/quotas/usage.py
+++ b/src/endivelug/forwarding/quotas/usage.py
@@ -65,10 +65,11 @@
     ----------
     backlog : float
         Units admitted that the reported rate has not covered; below 0 after refunds.
-    offered_units : float
-        Units that were asked for in the current block.
+    offered_units, offered_before : float
+        Units that were asked for in the current block and in the one before.
     offered_per_s, smoothed_per_s : float
-        Units per second that were asked for, in the last block and smoothed.
+        Units per second that were asked for in the last two blocks, and over a longer
+        time. Single large requests would make the rate of one block jump.
     reported : tuple of int
         Units admitted and offered per second, as last reported.
     reported_at : float
@@ -77,6 +78,7 @@
 
     backlog: float = 0.0
     offered_units: float = 0.0
+    offered_before: float = 0.0
     offered_per_s: float = 0.0
     smoothed_per_s: float = 0.0
     reported: tuple[int, int] = (0, 0)
@@ -84,7 +86,7 @@
 
     @property
     def current_offered_per_s(self) -> float:
-        """Units per second of the last block, or of the current one if it has more."""
+        """Units per second of the last blocks, or of the current one if it has more."""
         return max(self.offered_per_s, self.offered_units / BLOCK_S)
 
     def early_report(self, bounds: ReportBounds, *, now: float) -> bool:
@@ -104,8 +106,9 @@
     ) -> bool:
         """Set the rates to report after a block; return whether they changed."""
         self._advance(now)
-        offered = self.offered_per_s = self.offered_units / BLOCK_S
-        self.offered_units = 0.0
+        offered = (self.offered_units + self.offered_before) / (2 * BLOCK_S)
+        self.offered_per_s = offered
+        self.offered_before, self.offered_units = self.offered_units, 0.0
         self.smoothed_per_s += SMOOTHING * (offered - self.smoothed_per_s)
         if not any(self.reported):
             if not self._matters(bounds, others_offered):
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -42,6 +42,18 @@
     assert settings.cores == 0.0
 
 
+# Guards against a tolerance of quotas that is not read, or is required.
+def test_the_tolerance_of_quotas_is_optional(tmp_path):
+    settings = load(tmp_path, DOCUMENT)
+    assert (settings.quota_window_s, settings.quota_over) == (8.0, 0.1)
+    assert settings.quota_slack == 190_000
+    bounds = {"quotaWindowS": 4, "quotaOver": 0, "quotaSlack": 12.5}
+    document = {**DOCUMENT, "bounds": {**DOCUMENT["bounds"], **bounds}}
+    settings = load(tmp_path, document)
+    assert (settings.quota_window_s, settings.quota_over) == (4.0, 0.0)
+    assert settings.quota_slack == 12.5
+
+
 # Guards against choosing small VMs as relays because their capacity is not read.
 def test_the_capacity_is_the_share_of_a_core_times_its_speed(tmp_path):
     document = {**DOCUMENT, "limits": {"cpuShare": 0.5, "cores": 3}}
