--- a/src/endivelug/forwarding/node_metrics.py
+++ b/src/endivelug/forwarding/node_metrics.py
@@ -12,6 +12,8 @@
 # Further routes share the label ``OTHER_ROUTES``.
 MAX_ROUTES = 40
 OTHER_ROUTES = "other"
+# Interval at which the organisations with a label of their own are chosen again.
+ROTATE_LABELS_S = 60.0
 
 
 class NodeMetrics:
@@ -71,7 +73,10 @@
             registry=self.registry,
         )
         self.gauges: dict[str, Callable[[], float]] = {}
+        # Metrics with the label ``organisation``.
+        self.by_organisation: list[Counter | Histogram] = [self.organisation_s]
         self.in_progress = 0
+        self._rotate_at: float | None = None
         self._routes: set[str] = set()
 
     def record_request(self, call: Call) -> None:
@@ -91,11 +96,14 @@
         self.requests.inc({"route": route, "outcome": outcome})
         self.total_s.observe({"route": route}, seconds)
         if call.organisation is not None:
+            self.rotate_labels(now)
             label = self.busiest.record_request(call.organisation.name)
             self.organisation_s.observe({"organisation": label}, seconds)
 
     def record_over_quota(self, call: Call) -> None:
         """Count a request that is refused before it is admitted."""
+        if call.organisation is not None:
+            self.busiest.record_request(call.organisation.name)
         labels = {"route": self._route_label(call), "outcome": "over-quota"}
         self.requests.inc(labels)
 
@@ -116,6 +124,22 @@
         content, _ = render(self.registry, [])
         return content
 
+    def rotate_labels(self, now: float) -> None:
+        """Choose the busiest organisations, and remove the series of all others."""
+        if self._rotate_at is None:
+            self._rotate_at = now + ROTATE_LABELS_S
+        if now < self._rotate_at:
+            return
+        self._rotate_at = now + ROTATE_LABELS_S
+        dropped = self.busiest.rotate_labels()
+        for metric in self.by_organisation:
+            for labels in [
+                labels
+                for labels, _ in metric.get_all()
+                if labels.get("organisation") in dropped
+            ]:
+                metric.values.pop(labels, None)
+
     def _route_label(self, call: Call) -> str:
         name = call.route.name
         if name not in self._routes:
--- a/src/endivelug/forwarding/quotas/quota_gate.py
+++ b/src/endivelug/forwarding/quotas/quota_gate.py
@@ -199,9 +199,11 @@
     )
     metrics.gauges["quota_organisations"] = limiter.organisations
     metrics.gauges["quota_share"] = lambda: limiter.share
+    units = QuotaMetrics(registry=metrics.registry, busiest=metrics.busiest)
+    metrics.by_organisation.append(units.units)
     return QuotaGate(
         limiter=limiter,
-        metrics=QuotaMetrics(registry=metrics.registry, busiest=metrics.busiest),
+        metrics=units,
         # VMs that are registered, or were linked before, may still use their share.
         count_vms=lambda: (
             max(peers.max_vms, len(peers.overlay.registered)),
--- a/src/endivelug/forwarding/quotas/quota_limiter.py
+++ b/src/endivelug/forwarding/quotas/quota_limiter.py
@@ -75,7 +75,8 @@
         self.vms = 1
         self.represented_vms = 1
         self._share = 1.0
-        self._lower_share_at: float | None = None
+        self._counted_vms = 1
+        self._fewer_at: float | None = None
         self._states: dict[str, _State] = {}
 
     @property
@@ -222,16 +223,16 @@
         )
 
     def _update_share(self, now: float) -> None:
-        share = min(1.0, self.represented_vms / max(1, self.vms))
-        if share >= self._share:
-            self._share = share
-            self._lower_share_at = None
-            return
-        if self._lower_share_at is None:
-            self._lower_share_at = now + SHARE_DELAY_S
-        if now >= self._lower_share_at:
-            self._share = share
-            self._lower_share_at = None
+        """Follow the VMs that report, with a delay when they become fewer."""
+        if self.represented_vms >= self._counted_vms:
+            self._counted_vms = self.represented_vms
+            self._fewer_at = None
+        elif self._fewer_at is None:
+            self._fewer_at = now + SHARE_DELAY_S
+        elif now >= self._fewer_at:
+            self._counted_vms = self.represented_vms
+            self._fewer_at = None
+        self._share = min(1.0, self._counted_vms / max(1, self.vms))
 
     def _refusal(self, state: _State, units: int, others: OthersUse) -> QuotaRefusal:
         bucket = state.bucket
--- a/src/endivelug/forwarding/quotas/usage.py
+++ b/src/endivelug/forwarding/quotas/usage.py
@@ -13,6 +13,8 @@
 BLOCK_S = 0.5
 # A steep rise is reported before the end of a block, at most this often.
 EARLY_REPORT_S = 0.1
+# The others drop the rates of a VM that is silent for longer, for example frozen.
+RATE_KEPT_S = 2.0
 # Changes below this part of the last reported rate are not reported.
 NOTICEABLE_SHARE = 0.125
 # Weight of the last block in the smoothed rate.
@@ -124,7 +126,8 @@
         return self._set(offered)
 
     def _advance(self, now: float) -> None:
-        self.backlog -= self.reported[0] * (now - self.reported_at)
+        counted_s = min(now - self.reported_at, RATE_KEPT_S)
+        self.backlog -= self.reported[0] * counted_s
         self.reported_at = now
 
     def _matters(self, bounds: ReportBounds, others_offered: float) -> bool:
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -233,7 +233,7 @@
     assert anchor in anchors
 
 
-FORWARDING = sorted((ROOT / "src" / "endivelug" / "forwarding").glob("*.py"))
+FORWARDING = sorted((ROOT / "src" / "endivelug" / "forwarding").rglob("*.py"))
 
 
 # Guards against a log event of the forwarding package that the operations page lacks.
--- a/tests/test_quota_bucket.py
+++ b/tests/test_quota_bucket.py
@@ -121,3 +121,14 @@
     assert not use.early_report(BOUNDS, now=0.05)
     assert use.early_report(BOUNDS, now=0.2)
     assert use.reported == (60, 60)
+
+
+# Guards against rates that are not reported after a pause of the process, in which the
+# others had dropped those of this VM.
+def test_a_pause_of_the_process_counts_as_long_as_the_others_keep_the_rates():
+    use = OwnUse()
+    use.backlog = use.offered_units = 50.0
+    assert use.end_block(BOUNDS, others_offered=100.0, now=BLOCK_S)
+    assert use.reported == (100, 50)
+    use.end_block(BOUNDS, others_offered=100.0, now=30.0)
+    assert use.backlog == pytest.approx(50.0 - 2 * 100.0)
--- a/tests/test_quota_path.py
+++ b/tests/test_quota_path.py
@@ -177,3 +177,20 @@
         assert await statuses(system, 5) == [200] * 5
 
     run_scenario(scenario, configuration=with_quota(ratePerS=0, burst=0), **STRICT)
+
+
+# Guards against organisations that never get a label of their own, and against series
+# that stay after others have become busier.
+def test_the_busiest_organisations_get_labels():
+    async def scenario(system):
+        clock, metrics = system.node.clock, system.node.metrics
+        await statuses(system, 2)
+        metrics.rotate_labels(clock() + 61.0)
+        await statuses(system, 2)
+        page = metrics.page().decode()
+        assert 'quota_units_total{decision="admitted",organisation="org1"' in page
+        metrics.busiest.max_labels = 0
+        metrics.rotate_labels(clock() + 200.0)
+        assert 'organisation="org1"' not in metrics.page().decode()
+
+    run_scenario(scenario, configuration=with_quota(ratePerS=100, burst=5), **STRICT)
