--- a/src/endivelug/forwarding/quotas/quota_gate.py
+++ b/src/endivelug/forwarding/quotas/quota_gate.py
@@ -11,6 +11,11 @@
 from endivelug.forwarding.node_settings import NodeSettings
 from endivelug.forwarding.peers import Peers
 from endivelug.forwarding.quotas.charges import QuotaCharge
+from endivelug.forwarding.quotas.known_vms import (
+    FORGET_AFTER_S,
+    LINKING_S,
+    KnownVms,
+)
 from endivelug.forwarding.quotas.quota import Tolerance
 from endivelug.forwarding.quotas.quota_limiter import (
     KIND,
@@ -199,12 +204,19 @@
     )
     metrics.gauges["quota_organisations"] = limiter.organisations
     metrics.gauges["quota_share"] = lambda: limiter.share
+    now = peers.clock()
+    known = KnownVms(linked_at=now + LINKING_S, period_until=now + FORGET_AFTER_S)
+    units = QuotaMetrics(registry=metrics.registry, busiest=metrics.busiest)
+    metrics.by_organisation.append(units.units)
     return QuotaGate(
         limiter=limiter,
-        metrics=QuotaMetrics(registry=metrics.registry, busiest=metrics.busiest),
-        # VMs that are registered, or were linked before, may still use their share.
+        metrics=units,
         count_vms=lambda: (
-            max(peers.max_vms, len(peers.overlay.registered)),
+            known.record(
+                peers.vms,
+                registered=len(peers.overlay.registered),
+                now=peers.clock(),
+            ),
             peers.vms,
         ),
         configuration=lambda: peers.view.configuration,
--- a/src/endivelug/forwarding/quotas/quota_limiter.py
+++ b/src/endivelug/forwarding/quotas/quota_limiter.py
@@ -75,8 +75,8 @@
         self.vms = 1
         self.represented_vms = 1
         self._share = 1.0
-        self._lower_share_at: float | None = None
-        self._joined_until: float | None = None
+        self._counted_vms = 1
+        self._fewer_at: float | None = None
         self._states: dict[str, _State] = {}
 
     @property
@@ -84,6 +84,11 @@
         """Part of each limit that this VM and those that report to it may use."""
         return self._share
 
+    def level_of(self, organisation: str) -> float | None:
+        """Return the level of an organisation with state."""
+        state = self._states.get(organisation)
+        return None if state is None else state.bucket.level
+
     def organisations(self) -> int:
         """Return the number of organisations with state."""
         return len(self._states)
@@ -155,8 +160,6 @@
         quotas : mapping of str to Quota
             Quotas in force by organisation.
         """
-        if self._joined_until is None:
-            self._joined_until = now + self.tolerance.window_s
         self._update_share(now)
         for organisation in self.shared.keys() - self._states.keys():
             # Demand at other VMs lowers the level here, too.
@@ -189,10 +192,6 @@
 
     def _add(self, organisation: str, quota: Quota, *, now: float) -> _State:
         bucket = Bucket.full(quota, self.tolerance, now=now, share=self._share)
-        joining = self._joined_until is None or now < self._joined_until
-        if joining and self._others(organisation).offered >= bucket.rate:
-            # The bucket was in use before this VM joined.
-            bucket.level = 0.0
         state = _State(bucket=bucket, use=OwnUse(reported_at=now), demand_at=now)
         self._states[organisation] = state
         return state
@@ -224,16 +223,16 @@
         )
 
     def _update_share(self, now: float) -> None:
-        share = min(1.0, self.represented_vms / max(1, self.vms))
-        if share >= self._share:
-            self._share = share
-            self._lower_share_at = None
-            return
-        if self._lower_share_at is None:
-            self._lower_share_at = now + SHARE_DELAY_S
-        if now >= self._lower_share_at:
-            self._share = share
-            self._lower_share_at = None
+        """Follow the VMs that report, with a delay when they become fewer."""
+        if self.represented_vms >= self._counted_vms:
+            self._counted_vms = self.represented_vms
+            self._fewer_at = None
+        elif self._fewer_at is None:
+            self._fewer_at = now + SHARE_DELAY_S
+        elif now >= self._fewer_at:
+            self._counted_vms = self.represented_vms
+            self._fewer_at = None
+        self._share = min(1.0, self._counted_vms / max(1, self.vms))
 
     def _refusal(self, state: _State, units: int, others: OthersUse) -> QuotaRefusal:
         bucket = state.bucket
