Close connections at the bound without pauses, and bound heads

Cause: the bound counted connections that were just closed, so that it paused 50 ms for each; connections to upstreams that were being opened were not counted, by which a process had 259 descriptors of 256; 1,200 heads of 64 KiB would not have fitted into 160 MB. Change: open streams and connections in progress are counted; heads may have a quarter more than the configured bytes and are closed while the account is overdrawn; the rest of a refused body is dropped while it comes, at most 30 s, so that the answer is not lost by a reset; a request whose configuration has not changed is not checked again.

--- a/src/endivelug/forwarding/buffers/admission.py
+++ b/src/endivelug/forwarding/buffers/admission.py
@@ -35,7 +35,8 @@
     retry_after_s : callable
         Returns a Retry-After time for a request that found no room.
     serve : callable
-        Serves a decoded request once its body is complete.
+        Serves a decoded request once its body is complete; called with the result of
+        the check of its head.
     """
 
     def __init__(
@@ -47,7 +48,9 @@
         clock: Callable[[], float],
         is_closed: Callable[[], bool],
         retry_after_s: Callable[[], float],
-        serve: Callable[[InboundRequest, bytes, "Writer"], Awaitable[None]],
+        serve: Callable[
+            [InboundRequest, Permitted | None, bytes, "Writer"], Awaitable[None]
+        ],
     ) -> None:
         self.wire = wire
         self.view = view
@@ -75,11 +78,25 @@
         organisation = checked.organisation
         return HeadAccepted(
             organisation=organisation.name if organisation else None,
-            body_limit=checked.body_limit,
-            serve=partial(self.serve, request),
+            body_limit=checked.configuration.limits.body_bytes,
+            serve=partial(self.serve, request, checked),
             refuse=partial(self._refuse_body, request.id),
         )
 
+    def check_again(
+        self, request: InboundRequest, checked: Permitted | None
+    ) -> Denied | Permitted:
+        """Check a complete request, whose head may have been checked before."""
+        size = len(request.body)
+        if (
+            checked is not None
+            and checked.configuration is self.view.configuration
+            and size <= checked.configuration.limits.body_bytes
+            and not self.is_closed()
+        ):
+            return checked
+        return self.check(request, size)
+
     def check(self, request: InboundRequest, body_bytes: int) -> Denied | Permitted:
         """Return whether a request is served, and log one that is not allowed."""
         configuration = self.view.configuration if self.view.complete else None
--- a/src/endivelug/forwarding/buffers/client_guard.py
+++ b/src/endivelug/forwarding/buffers/client_guard.py
@@ -31,6 +31,7 @@
     BODY_EVICTED = "body-evicted"
     BODY_REFUSED = "body-refused"
     HEAD_SLOW = "head-slow"
+    HEAD_EVICTED = "head-evicted"
     RESPONSE_UNREAD = "response-unread"
     CONNECTION_IDLE = "connection-idle"
 
--- a/src/endivelug/forwarding/buffers/front.py
+++ b/src/endivelug/forwarding/buffers/front.py
@@ -3,10 +3,19 @@
 from endivelug.forwarding.buffers.client_guard import ClientGuard
 from endivelug.forwarding.buffers.descriptors import DescriptorBounds
 from endivelug.forwarding.forwarder import Forwarder
-from endivelug.forwarding.front_server import IDLE_TIMEOUT_S, FrontServer
+from endivelug.forwarding.front_server import (
+    IDLE_TIMEOUT_S,
+    MAX_HEADER_BYTES,
+    FrontServer,
+)
 from endivelug.forwarding.node_metrics import NodeMetrics
 from endivelug.forwarding.node_settings import NodeSettings
 
+# Heads may be longer than the limit by this factor: whether the request line and the
+# separators count is not stated.
+HEAD_MARGIN = 1.25
+MIN_HEAD_BYTES = 8 * 1024
+
 
 def make_front_server(
     forwarder: Forwarder, *, settings: NodeSettings, metrics: NodeMetrics
@@ -26,20 +35,28 @@
             return IDLE_TIMEOUT_S
         return configuration.limits.header_timeout_s
 
+    def max_head_bytes() -> int:
+        configuration = view.configuration
+        if configuration is None:
+            return MAX_HEADER_BYTES
+        granted = int(configuration.limits.header_bytes * HEAD_MARGIN)
+        return max(MIN_HEAD_BYTES, min(granted, MAX_HEADER_BYTES))
+
     pool = forwarder.runner.pool
     bounds = DescriptorBounds(max_fds=settings.max_fds)
     server = FrontServer(
         handler=forwarder.handle,
         check_head=forwarder.admission.check_head,
         guard=guard,
-        max_connections=lambda: bounds.max_callers(upstreams=len(pool.opened)),
+        max_connections=lambda: bounds.max_callers(upstreams=pool.open_bound),
         header_timeout_s=header_timeout_s,
+        max_head_bytes=max_head_bytes,
         log=view.log,
     )
 
     def may_open() -> bool:
         callers = server.connections
-        if bounds.upstream_fits(callers=callers, upstreams=len(pool.opened)):
+        if bounds.upstream_fits(callers=callers, upstreams=pool.open_bound):
             return True
         if bounds.upstream_fits(callers=callers, upstreams=pool.count_open()):
             return True
--- a/src/endivelug/forwarding/buffers/head_check.py
+++ b/src/endivelug/forwarding/buffers/head_check.py
@@ -27,7 +27,7 @@
 
     route: Route
     organisation: Organisation | None
-    body_limit: int
+    configuration: RoutingConfiguration
 
 
 def check_request(
@@ -66,7 +66,7 @@
     return Permitted(
         route=route,
         organisation=organisation,
-        body_limit=configuration.limits.body_bytes,
+        configuration=configuration,
     )
 
 
--- a/src/endivelug/forwarding/buffers/idle_connections.py
+++ b/src/endivelug/forwarding/buffers/idle_connections.py
@@ -63,6 +63,7 @@
             return
         self._next_check_at = now + HEAD_CHECK_INTERVAL_S
         held = connections * CONNECTION_BYTES
+        begun: list[RequestReader] = []
         for reader in list(self.readers):
             count = reader.buffered_bytes
             if not count:
@@ -75,7 +76,15 @@
                 self._close(reader, CloseReason.HEAD_SLOW)
                 continue
             held += count
+            begun.append(reader)
         self.guard.charge_connections(held)
+        account = self.guard.account
+        for reader in begun:
+            if account.held_bytes <= account.total_bytes:
+                break
+            held -= reader.buffered_bytes
+            self._close(reader, CloseReason.HEAD_EVICTED)
+            self.guard.charge_connections(held)
 
     def _close(self, reader: RequestReader, reason: CloseReason) -> None:
         self.discard(reader)
--- a/src/endivelug/forwarding/buffers/request_reader.py
+++ b/src/endivelug/forwarding/buffers/request_reader.py
@@ -29,9 +29,11 @@
 CLOSED_CHECK_INTERVAL_S = 1.0
 # Longer numbers are not converted; no body is as long.
 MAX_LENGTH_DIGITS = 18
-# Time for which the rest of a refused body is read and dropped. A connection that is
-# closed before would be reset, and the caller could lose the answer.
+# The rest of a refused body is read and dropped while it comes, with pauses and in all
+# up to these times. A connection that is closed before would be reset, and the caller
+# could lose the answer.
 LINGER_S = 2.0
+MAX_LINGER_S = 30.0
 
 
 class RequestReader(HTTPMessageDelegate):
@@ -76,6 +78,8 @@
         self.body: HeldBody | None = None
         self._answered = False
         self._linger: asyncio.TimerHandle | None = None
+        self._linger_until = 0.0
+        self._dropped_bytes = 0
 
     @property
     def buffered_bytes(self) -> int:
@@ -123,7 +127,10 @@
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         """Hold a part of the body, and wait for room for the next one."""
         body = self.body
-        if body is None or self._answered:
+        if self._answered:
+            self._dropped_bytes += len(chunk)
+            return None
+        if body is None:
             return None
         if self.refused is not None:
             self.guard.record_progress(body.holder, len(chunk))
@@ -208,8 +215,22 @@
         )
         written = self.connection.write_headers(line, fields, refused.body)
         written.add_done_callback(lambda future: future.exception())
+        self._linger_until = self.guard.clock() + MAX_LINGER_S
+        self._wait_for_rest()
+
+    def _wait_for_rest(self) -> None:
+        """Close the connection once the caller sends nothing more, or for too long."""
+        dropped = self._dropped_bytes
+
+        def check() -> None:
+            late = self.guard.clock() >= self._linger_until
+            if late or self._dropped_bytes == dropped:
+                self.close()
+            else:
+                self._wait_for_rest()
+
         loop = asyncio.get_running_loop()
-        self._linger = loop.call_later(LINGER_S, self.connection.close)
+        self._linger = loop.call_later(LINGER_S, check)
 
 
 def remote_address(connection: HTTPConnection) -> str:
--- a/src/endivelug/forwarding/connection_pool.py
+++ b/src/endivelug/forwarding/connection_pool.py
@@ -60,6 +60,8 @@
     ----------
     opened_total : int
         Connections opened so far.
+    opening : int
+        Connections that are being opened.
     opened : set of UpstreamConnection
         Connections that were opened and may still be open.
     account : MemoryAccount or None
@@ -71,6 +73,7 @@
     clock: Callable[[], float]
     idle: dict[tuple[str, Use], list[_IdleEntry]] = field(default_factory=dict)
     opened_total: int = 0
+    opening: int = 0
     opened: set[UpstreamConnection] = field(default_factory=set)
     account: MemoryAccount | None = None
     may_open: Callable[[], bool] = lambda: True
@@ -129,15 +132,24 @@
             If no connection was made in time.
         """
         self.opened_total += 1
-        connection = await connect(address, timeout_s=timeout_s, clock=self.clock)
+        self.opening += 1
+        try:
+            connection = await connect(address, timeout_s=timeout_s, clock=self.clock)
+        finally:
+            self.opening -= 1
         connection.account = self.account
         self.opened.add(connection)
         return connection
 
+    @property
+    def open_bound(self) -> int:
+        """Largest number that ``count_open`` can return now."""
+        return len(self.opened) + self.opening
+
     def count_open(self) -> int:
-        """Return the number of open connections."""
+        """Return the number of connections that are open or being opened."""
         self.opened = {item for item in self.opened if not item.closed}
-        return len(self.opened)
+        return len(self.opened) + self.opening
 
     def _take_idle(
         self, address: str, use: Use, max_idle_s: float, request: int
--- a/src/endivelug/forwarding/forwarder.py
+++ b/src/endivelug/forwarding/forwarder.py
@@ -8,7 +8,7 @@
 from endivelug.forwarding.attempt import AttemptRunner
 from endivelug.forwarding.attempt_limits import RESPONSE_MARGIN_S
 from endivelug.forwarding.buffers.admission import Admission
-from endivelug.forwarding.buffers.head_check import Denied
+from endivelug.forwarding.buffers.head_check import Denied, Permitted
 from endivelug.forwarding.call_recorder import CallRecorder, reason_of
 from endivelug.forwarding.calls import (
     AttemptOutcome,
@@ -126,17 +126,21 @@
         except EndivelugError as error:
             await self._send_error("", writer, 400, str(error))
             return
-        await self._serve_request(request, body, writer)
+        await self._serve_request(request, None, body, writer)
 
     async def _serve_request(
-        self, request: InboundRequest, body: bytes, writer: Writer
+        self,
+        request: InboundRequest,
+        checked: Permitted | None,
+        body: bytes,
+        writer: Writer,
     ) -> None:
         # The time to read the body does not count.
         now = self.clock()
         request.deadline += now - request.received_at
         request.received_at = now
         request.body = body
-        call = await self._admit(request, writer)
+        call = await self._admit(request, checked, writer)
         if call is None:
             return
         self.budget.record_request(call.service, now=now)
@@ -151,9 +155,11 @@
         except Exception as error:
             await self._fail_unforeseen(call, writer, error)
 
-    async def _admit(self, request: InboundRequest, writer: Writer) -> Call | None:
+    async def _admit(
+        self, request: InboundRequest, head_check: Permitted | None, writer: Writer
+    ) -> Call | None:
         """Return the call of a valid request, or send an error response."""
-        checked = self.admission.check(request, len(request.body))
+        checked = self.admission.check_again(request, head_check)
         if isinstance(checked, Denied):
             await self._send_error(
                 request.id,
@@ -163,8 +169,7 @@
                 checked.retry_after_s,
             )
             return None
-        route, configuration = checked.route, self.view.configuration
-        assert configuration is not None
+        route, configuration = checked.route, checked.configuration
         received = request.received_at
         return Call(
             request=request,
--- a/src/endivelug/forwarding/front_server.py
+++ b/src/endivelug/forwarding/front_server.py
@@ -167,6 +167,8 @@
         Returns how many connections are accepted; 0 for any number.
     header_timeout_s : callable
         Returns the time for a head from its first byte.
+    max_head_bytes : callable
+        Returns the longest head that is read.
 
     Attributes
     ----------
@@ -189,15 +191,18 @@
         check_head: HeadCheck | None = None,
         max_connections: Callable[[], int] = lambda: 0,
         header_timeout_s: Callable[[], float] = lambda: IDLE_TIMEOUT_S,
+        max_head_bytes: Callable[[], int] = lambda: MAX_HEADER_BYTES,
     ) -> None:
         self.handler = handler
         self.log = log
         self.guard = guard
         self.check_head = check_head
         self.max_connections = max_connections
+        self.max_head_bytes = max_head_bytes
         self.closing = False
         self.tasks: dict[Writer, asyncio.Task[None]] = {}
         self.left_total = 0
+        self._streams: set[IOStream] = set()
         self.idle = IdleConnections(guard=guard, header_timeout_s=header_timeout_s)
         self.server = HTTPServer(
             self,
@@ -242,11 +247,14 @@
                     task.cancel()
             self.guard.sweep()
             self.idle.sweep(connections=self.connections)
+            # The parameters are shared by all connections.
+            self.server.conn_params.max_header_size = self.max_head_bytes()
 
     @property
     def connections(self) -> int:
         """Number of open connections."""
-        return len(self.server._connections)
+        self._streams = {item for item in self._streams if not item.closed()}
+        return len(self._streams)
 
     def listen(self, address: str) -> None:
         """Listen on an IP address and port."""
@@ -267,17 +275,15 @@
         await self.server.close_all_connections()
 
     def _accepted(self, stream: IOStream, address: tuple[str, int]) -> None:
+        self._streams.add(stream)
         self.server.handle_stream(stream, address)
 
     def _has_room(self) -> bool:
         """Return whether a connection may be accepted; at the bound, make room."""
         limit = self.max_connections()
-        if not limit or self.connections < limit:
+        if not limit or len(self._streams) < limit or self.connections < limit:
             return True
-        if not self.idle.close_oldest():
-            self.guard.close_slowest()
-        # A closed connection is counted until its server has noticed it.
-        return False
+        return self.idle.close_oldest() or self.guard.close_slowest()
 
     def _begin(self, reader: RequestReader) -> None:
         """Start the handler of a complete request in a separate task."""
