--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -8,7 +8,9 @@
 from endivelug.forwarding.buffers.client_guard import CloseReason
 from endivelug.forwarding.buffers.held_body import READ_BYTES
 from endivelug.forwarding.buffers.memory_account import SMALL_BODY_BYTES
+from endivelug.forwarding.status_pages import MAX_CONNECTIONS
 from endivelug.forwarding.upstream_connection import MAX_BUFFERED_BYTES
+from platform_standins import request
 from router_process import KEY, PROMPT, metrics_port, run_scenario, wait_until
 
 __all__ = ["metrics_port"]
@@ -338,6 +340,22 @@
     run_scenario(scenario)
 
 
+# Guards against readiness checks that fail, and operators that see no metrics, because
+# clients keep connections to these ports open.
+def test_the_operators_ports_answer_beside_idle_connections():
+    async def scenario(system):
+        host, _, port = system.node.settings.ready.rpartition(":")
+        idle = [await asyncio.open_connection(host, int(port)) for _ in range(40)]
+        response = await request(system.node.settings.ready, method="GET")
+        assert response.status == 200
+        pages = system.node.status_pages
+        assert pages.readiness_server.connections <= MAX_CONNECTIONS
+        for _, writer in idle:
+            writer.transport.abort()
+
+    run_scenario(scenario)
+
+
 # Guards against accepting fewer connections than the bound after many were closed, and
 # against a head that is never completed.
 def test_idle_connections_are_closed_at_the_bound_and_slow_heads_by_their_deadline():
