Wait for the events of a stream without a task for each

Cause: the wait for an event of an upstream created a task and called `asyncio.wait`, which adds and removes callbacks and a time limit, for each event of each stream. Change: `UpstreamConnection.wait_for_event` waits on one future with a timer; `take_event` returns an event that is there already. Deadlines, the check for silence and the errors are the same.

--- a/src/endivelug/forwarding/attempt.py
+++ b/src/endivelug/forwarding/attempt.py
@@ -250,22 +250,14 @@
         TimeoutError
             If the deadline passes or ``leave`` returns True; it is called regularly.
         """
-        event = asyncio.ensure_future(connection.next_event())
-        try:
-            while True:
-                wait_s = min(deadline - self.clock(), SILENCE_CHECK_INTERVAL_S)
-                await asyncio.wait([event], timeout=max(0.0, wait_s))
-                if event.done():
-                    return event.result()
-                if self.clock() >= deadline or leave():
-                    raise TimeoutError
-        except BaseException:
-            event.cancel()
-            # Retrieve an exception set in the same turn of the loop, which asyncio
-            # would log otherwise; the exception already raised takes its place.
-            if event.done() and not event.cancelled():
-                event.exception()
-            raise
+        event = connection.take_event()
+        while event is None:
+            wait_s = min(deadline - self.clock(), SILENCE_CHECK_INTERVAL_S)
+            await connection.wait_for_event(timeout_s=max(0.0, wait_s))
+            event = connection.take_event()
+            if event is None and (self.clock() >= deadline or leave()):
+                raise TimeoutError
+        return event
 
     def _is_engine_silent(
         self, placement: Placement, sent_at: float, silence_timeout_s: float | None
--- a/src/endivelug/forwarding/upstream_connection.py
+++ b/src/endivelug/forwarding/upstream_connection.py
@@ -194,20 +194,44 @@
         UpstreamBroken
             If the response is incomplete or not valid HTTP.
         """
-        while not self._events:
+        while (event := self.take_event()) is None:
+            await self.wait_for_event(timeout_s=None)
+        return event
+
+    def take_event(self) -> ResponseEvent | None:
+        """Return the next event of the response if it has arrived, or None.
+
+        Raises
+        ------
+        UpstreamBroken
+            As for ``next_event``.
+        """
+        if not self._events:
             if self._failure is not None:
                 raise self._failure
-            self._waiter = asyncio.get_running_loop().create_future()
-            try:
-                await self._waiter
-            finally:
-                self._waiter = None
+            return None
         event = self._events.popleft()
         if isinstance(event, BodyData):
             self._buffered_bytes -= len(event.data)
             self._update_reading()
         return event
 
+    async def wait_for_event(self, *, timeout_s: float | None) -> None:
+        """Wait until ``take_event`` has a result, at most for a time."""
+        loop = asyncio.get_running_loop()
+        self._waiter = loop.create_future()
+        # A stream waits for each event; a task and a time limit of asyncio cost several
+        # times as much as a timer.
+        timer = None
+        if timeout_s is not None:
+            timer = loop.call_later(timeout_s, self._wake_reader)
+        try:
+            await self._waiter
+        finally:
+            self._waiter = None
+            if timer is not None:
+                timer.cancel()
+
     @property
     def reusable(self) -> bool:
         """Whether the connection can carry another request."""
