Check the types of a list of records by column

Cause: decoding was the largest part of the time of a received report: most of it are loads, and each was checked and built by a call of its own. Change: the types of a list of flat records are checked by column; any list that does not pass is read record by record as before, with the same errors. Flat records are encoded with `attrgetter`. Messages on the wire are the same. A trial with 400 random messages of each type and as many damaged ones decodes to the same values and errors before and after.

--- a/src/endivelug/codec.py
+++ b/src/endivelug/codec.py
@@ -1,7 +1,8 @@
 """CBOR codec of messages: each is an array ``[type, correlation, fields...]``."""
 
 import dataclasses
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from operator import attrgetter
 from typing import Any, NoReturn, get_args, get_origin, get_type_hints
 
 import cbor2
@@ -24,6 +25,7 @@
 )
 
 Reader = Callable[[Any], Any]
+Writer = Callable[[Any], Sequence[Any]]
 
 
 def _reject_tag(*_: Any) -> NoReturn:
@@ -52,6 +54,8 @@
     if get_origin(annotation) is list:
         item_type = get_args(annotation)[0]
         read_item = _make_reader(item_type)
+        if dataclasses.is_dataclass(item_type):
+            return _make_records_reader(item_type, read_item)
 
         def read_list(value: Any) -> list[Any]:
             if not isinstance(value, list):
@@ -66,6 +70,32 @@
     return _make_scalar_reader(annotation)
 
 
+def _make_records_reader(record_type: Any, read_record: Reader) -> Reader:
+    """Return a reader of lists of records."""
+    hints = get_type_hints(record_type)
+    names = tuple(field.name for field in dataclasses.fields(record_type))
+    only_scalars = not any(get_origin(hints[name]) for name in names)
+    column_types = [{hints[name]} for name in names]
+
+    def read_records(value: Any) -> list[Any]:
+        if not isinstance(value, list):
+            raise PeerProtocolError("expected an array; upgrade the older VM")
+        # Fast path: most lists are loads, whose types are checked by column in C.
+        if (
+            only_scalars
+            and set(map(type, value)) == {list}
+            and set(map(len, value)) == {len(names)}
+            and column_types
+            == [set(map(type, column)) for column in zip(*value, strict=True)]
+        ):
+            return [
+                record_type(**dict(zip(names, item, strict=True))) for item in value
+            ]
+        return [read_record(item) for item in value]
+
+    return read_records
+
+
 def _field_readers(record_type: Any) -> list[tuple[str, Reader]]:
     hints = get_type_hints(record_type)
     return [
@@ -110,7 +140,7 @@
     return read
 
 
-def _make_writer(record_type: Any) -> Callable[[Any], list[Any]]:
+def _make_writer(record_type: Any) -> Writer:
     fields = dataclasses.fields(record_type)
     if not fields:
         return lambda record: []
@@ -123,6 +153,9 @@
         if any(map(dataclasses.is_dataclass, get_args(hints[name])))
     ]
 
+    if not nested and len(names) > 1:
+        return attrgetter(*names)
+
     def write(record: Any) -> list[Any]:
         values = [getattr(record, name) for name in names]
         for index in nested:
@@ -137,7 +170,7 @@
     message_type.TYPE: _make_record_reader(message_type)
     for message_type in _MESSAGE_TYPES
 }
-_WRITERS: dict[type, Callable[[Any], list[Any]]] = {
+_WRITERS: dict[type, Writer] = {
     record_type: _make_writer(record_type)
     for record_type in (
         *_MESSAGE_TYPES,
