Weigh no engines for waiting calls while all are full

Cause: a round of assignments follows each report of a peer, each ended request and every 50 ms, and places up to 16 waiting calls of each service. While all engines are full, each of these placements draws and weighs three samples of engines in vain. Change: a round first looks whether any engine that accepts requests has a slot and memory for a call (`Placer.may_fit`), and remembers the size of the smallest call that fits nowhere, because room only shrinks during a round. A call is placed as before as soon as one engine may have room for it. Decisions are the same, except that the random generator is drawn from less often: the samples of a run differ, not their distribution. Tests: whatever can be placed may fit; a small call behind a large one that does not fit is placed.

--- a/measurements/forwarding_cost.py
+++ b/measurements/forwarding_cost.py
@@ -1,9 +1,10 @@
-"""CPU time of a relay's reports and of placements on full and on free engines.
+"""CPU time of a relay's reports, of placements and of rounds of waiting calls.
 
 Nothing is sent, so that two versions can be compared on a busy machine. The digests are
 those of the reports and placements; they are the same if no decision has changed.
 """
 
+import asyncio
 import hashlib
 import json
 import random
@@ -14,6 +15,7 @@
 from endivelug import codec
 from endivelug.forwarding.calls import Call
 from endivelug.forwarding.cluster_view import ClusterView
+from endivelug.forwarding.dispatcher import Dispatcher
 from endivelug.forwarding.instance_load import LoadReport
 from endivelug.forwarding.neighbour import NO_MEMBER, Neighbour
 from endivelug.forwarding.neighbour_sums import Load
@@ -42,6 +44,9 @@
 REQUESTS_PER_S = 480.0
 ROUNDS = 100
 CALLS = 1000
+# Calls that wait in a round; a round gives up after as many that fit nowhere.
+WAITING = 16
+WAITING_ROUNDS = 50
 REPEATS = 5
 # Every 22nd prompt is long.
 LONG_PROMPT_INTERVAL = 22
@@ -279,6 +284,29 @@
     return time.process_time() - started, digest.hexdigest()[:16]
 
 
+async def _assign() -> tuple[float, str]:
+    """Try calls that wait for full engines; return the CPU time and the number left."""
+    placer = _make_placer(full=True)
+    dispatcher = Dispatcher(placer=placer, clock=placer.clock)
+    tasks = [
+        asyncio.create_task(
+            dispatcher.place(call, expires_at=call.deadline, returning=False)
+        )
+        for call in _make_calls(random.Random(1))[:WAITING]
+    ]
+    while len(dispatcher.waiters) < WAITING:
+        await asyncio.sleep(0)
+    started = time.process_time()
+    for _ in range(WAITING_ROUNDS):
+        dispatcher._assign()
+    cpu_s = time.process_time() - started
+    left = len(dispatcher.waiters)
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    return cpu_s, f"{left} wait"
+
+
 def measure(*, seed: int) -> Iterator[dict[str, Any]]:
     """Yield one line for the reports and one for each state of the engines."""
     reports = _encode_reports(random.Random(seed))
@@ -286,6 +314,10 @@
         "report": (len(reports), [_exchange(reports) for _ in range(REPEATS)]),
         "placement": (CALLS, [_place(full=False) for _ in range(REPEATS)]),
         "failed_placement": (CALLS, [_place(full=True) for _ in range(REPEATS)]),
+        "waiting_round": (
+            WAITING_ROUNDS,
+            [asyncio.run(_assign()) for _ in range(REPEATS)],
+        ),
     }
     summary: dict[str, Any] = {"summary": "forwarding_cost", "seed": seed}
     for name, (count, runs) in results.items():
--- a/src/endivelug/forwarding/dispatcher.py
+++ b/src/endivelug/forwarding/dispatcher.py
@@ -26,6 +26,34 @@
     future: asyncio.Future[Placement]
 
 
+@dataclass(slots=True, kw_only=True)
+class _Room:
+    """What is known in one round of the room that the engines of a service have.
+
+    Rounds follow each report of a peer. While all engines are full, no samples of them
+    are drawn and weighed for each waiting call.
+
+    Attributes
+    ----------
+    full_for_tokens : float
+        Size of the smallest call that no engine has room for. Room only shrinks during
+        a round, so that larger calls do not fit either.
+    """
+
+    placer: Placer
+    full_for_tokens: float = float("inf")
+
+    def place(self, call: Call) -> Placement | NoPlacement:
+        """Return the placement of a waiting call, or that it has none."""
+        if call.request.model is not None:
+            tokens = call.request.total_tokens
+            if tokens < self.full_for_tokens and not self.placer.may_fit(call):
+                self.full_for_tokens = tokens
+            if tokens >= self.full_for_tokens:
+                return NoPlacement()
+        return self.placer.place(call)
+
+
 class Dispatcher:
     """Assigns calls to instances in the order of the queue.
 
@@ -119,12 +147,13 @@
         now = self.clock()
         for service in {waiter.call.service for waiter in self.waiters.values()}:
             failed = 0
+            room = _Room(placer=self.placer)
             for waiting in self.queue.in_send_order(service, now=now):
                 waiter = self.waiters[waiting.request]
                 if waiter.future.done():
                     continue
                 try:
-                    placement = self.placer.place(waiter.call)
+                    placement = room.place(waiter.call)
                 except Exception as error:
                     # Only this call fails; those behind it are placed.
                     waiter.future.set_exception(error)
--- a/src/endivelug/forwarding/engine_candidates.py
+++ b/src/endivelug/forwarding/engine_candidates.py
@@ -177,26 +177,39 @@
                 wanted.add(engine)
         return wanted
 
+    def any_accepts(self, call: Call, limits: EngineLimits) -> bool:
+        """Return whether any engine accepts requests and has capacity for a call."""
+        now = self.clock()
+        return any(
+            self._lacking(call, limits, instance) is None
+            and self.view.loads.of(instance.name).accepts_requests(now=now)
+            for instance in self.view.registry.of_service(call.service)
+        )
+
     def lacking_everywhere(
         self, call: Call, limits: EngineLimits, engines: list[UsableEngine]
     ) -> Counter[WaitReason] | None:
         """Return what each engine lacks for a call, or None if any has capacity."""
-        request = call.request
         lacking: Counter[WaitReason] = Counter()
         for item in engines:
-            total = self.view.loads.total(item.instance.name)
-            reason = lacking_capacity(
-                requests=total.requests,
-                memory_tokens=total.memory_tokens,
-                slots=limits.slots,
-                cache_tokens=limits.cache_tokens,
-                needed_tokens=request.prompt_tokens + request.output_tokens,
-            )
+            reason = self._lacking(call, limits, item.instance)
             if reason is None:
                 return None
             lacking[reason] += 1
         return lacking
 
+    def _lacking(
+        self, call: Call, limits: EngineLimits, instance: Instance
+    ) -> WaitReason | None:
+        total = self.view.loads.total(instance.name)
+        return lacking_capacity(
+            requests=total.requests,
+            memory_tokens=total.memory_tokens,
+            slots=limits.slots,
+            cache_tokens=limits.cache_tokens,
+            needed_tokens=call.request.total_tokens,
+        )
+
     def candidate(
         self, call: Call, item: UsableEngine, namespace: str, sources: CopySources
     ) -> Candidate:
--- a/src/endivelug/forwarding/placement.py
+++ b/src/endivelug/forwarding/placement.py
@@ -128,6 +128,17 @@
         """Return whether any instance of the service is registered."""
         return bool(self.view.registry.of_service(call.service))
 
+    def may_fit(self, call: Call) -> bool:
+        """Return whether any instance may take a call; False if all engines are full.
+
+        Costs a fraction of a placement that fails.
+        """
+        configuration = self.view.configuration
+        service = configuration.services.get(call.service) if configuration else None
+        if service is None or service.engine is None or call.request.model is None:
+            return True
+        return self.engines.any_accepts(call, service.engine)
+
     def place(self, call: Call) -> Placement | NoPlacement:
         """Return the placement of a call, or why it has to wait."""
         configuration = self.view.configuration
@@ -286,7 +297,7 @@
             ),
             expected_s=choice.expected_s,
             uncached_tokens=choice.uncached_tokens,
-            memory_tokens=request.prompt_tokens + request.output_tokens,
+            memory_tokens=request.total_tokens,
             weights=candidate.version,
             namespace=candidate.namespace,
             fetch_from=candidate.source.address,
--- a/src/endivelug/forwarding/requests.py
+++ b/src/endivelug/forwarding/requests.py
@@ -49,6 +49,11 @@
         """Path without the query."""
         return self.target.partition("?")[0]
 
+    @property
+    def total_tokens(self) -> int:
+        """Tokens of the prompt and of the longest output."""
+        return self.prompt_tokens + self.output_tokens
+
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class SendOptions:
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -1,4 +1,21 @@
+import asyncio
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from endivelug.forwarding.dispatcher import Dispatcher
+from endivelug.forwarding.neighbour_sums import Load
+from endivelug.forwarding.placement import Placement, Placer
 from endivelug.forwarding.request_queue import QueuedRequest, RequestQueue
+from forwarding_builders import (
+    ManualClock,
+    make_call,
+    make_request,
+    make_view,
+    registration_document,
+    stored_row,
+)
 
 
 def make_queue(*items):
@@ -51,3 +68,104 @@
     assert send_order(queue) == ["b"]
     queue.remove("b")
     assert send_order(queue) == []
+
+
+def make_placer(requests):
+    """Return a placer whose engines have so many requests of other VMs each."""
+    clock = ManualClock()
+    view = make_view(clock)
+    rows = [
+        stored_row(
+            "servers",
+            f"e{number}",
+            registration_document(address=f"127.0.0.1:{number}"),
+            3,
+        )
+        for number in range(1, len(requests) + 1)
+    ]
+    view.apply(rows, source="store")
+    placer = Placer(
+        view=view,
+        data_centre="dc1",
+        weights_limit_s=10.0,
+        clock=clock,
+        rng=random.Random(1),
+    )
+    for number, count in enumerate(requests, start=1):
+        view.loads.neighbours.set("vm2", f"e{number}", Load(requests=count))
+    return placer
+
+
+# Guards against rounds that pass over a waiting call although an engine has room.
+@settings(derandomize=True)
+@given(
+    requests=st.lists(st.sampled_from([0, 1, 63, 64, 70]), min_size=1, max_size=4),
+    prompt_tokens=st.sampled_from([100, 17_000, 200_000]),
+    excluded=st.sets(st.sampled_from(["e1", "e2"])),
+    silent=st.sets(st.sampled_from(["e1", "e2"])),
+    model=st.sampled_from(["m", None]),
+)
+def test_a_call_that_can_be_placed_may_fit(
+    requests, prompt_tokens, excluded, silent, model
+):
+    placer = make_placer(requests)
+    for name in silent:
+        placer.view.loads.of(name).silent = True
+    request = make_request(prompt_tokens=prompt_tokens, model=model)
+    call = make_call(request=request, excluded_instances=excluded)
+    if isinstance(placer.place(call), Placement):
+        assert placer.may_fit(call)
+
+
+# Guards against weighing full engines for each waiting call after each report, which
+# took most of the processor at peak load, and against calls that wait on once one has
+# room.
+def test_waiting_calls_are_weighed_only_while_an_engine_has_room(monkeypatch):
+    placer = make_placer([64, 64])
+    loads = placer.view.loads
+    placed = []
+
+    async def scenario():
+        dispatcher = Dispatcher(placer=placer, clock=placer.clock)
+        waiting = asyncio.create_task(
+            dispatcher.place(make_call(), expires_at=110.0, returning=False)
+        )
+        while not dispatcher.waiters:
+            await asyncio.sleep(0)
+        place = placer.place
+        monkeypatch.setattr(
+            placer, "place", lambda call: placed.append(call) or place(call)
+        )
+        dispatcher._assign()
+        assert not placed
+        loads.neighbours.set("vm2", "e2", Load(requests=63))
+        dispatcher._assign()
+        placement = await waiting
+        assert (len(placed), placement.instance.name) == (1, "e2")
+
+    asyncio.run(scenario())
+
+
+# Guards against a large call that fits nowhere and keeps a small one behind it waiting.
+def test_a_small_call_is_placed_behind_a_large_one_that_fits_nowhere():
+    placer = make_placer([1])
+    load = Load(requests=1, memory_tokens=120_000)
+    placer.view.loads.neighbours.set("vm2", "e1", load)
+
+    async def scenario():
+        dispatcher = Dispatcher(placer=placer, clock=placer.clock)
+        large = make_call(request=make_request(prompt_tokens=20_000))
+        small = make_call(request=make_request(prompt_tokens=400), target_at=102.0)
+        tasks = [
+            asyncio.create_task(
+                dispatcher.place(call, expires_at=110.0, returning=False)
+            )
+            for call in (large, small)
+        ]
+        placement = await tasks[1]
+        assert placement.instance.name == "e1"
+        assert list(dispatcher.waiters) == [large.key]
+        tasks[0].cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    asyncio.run(scenario())
