Limit the requests at an upstream that starts or comes back

Cause: an upstream that had just started or recovered was the least loaded one at every VM at once, and got all their requests while it was cold or still failing. Change: pace/controller.py limits what all VMs together have there. The limit starts at a quarter of the slots, or at one request for an upstream that was avoided, grows with responses and is halved at once on failures; beyond the slots the upstream is warm and has no state. Each VM takes its part of the room by its share of the requests, so that they do not all come at once. Good, late and failed responses are exchanged as shared amounts of kind pace, only for upstreams in slow start. A service without traffic, or without any warm upstream, is not limited. Placement leaves limited upstreams out (wait reason WARMING); without one in slow start it checks one empty dictionary.

--- a/src/endivelug/forwarding/cluster_view.py
+++ b/src/endivelug/forwarding/cluster_view.py
@@ -88,6 +88,9 @@
         self.on_instance_removed: Callable[[Instance], None] = _ignore
         self.on_weights_observed: Callable[[Instance, str, int], None] = _ignore
         self.on_leaving: Callable[[str, int], None] = _ignore
+        self.on_registered: Callable[[Instance | None, Instance], None] = _ignore
+        self.on_avoided: Callable[[str, float], None] = _ignore
+        self.on_new_weights: Callable[[Instance], None] = _ignore
         self.on_version_advanced: Callable[[], None] = _ignore
         self.configuration: RoutingConfiguration | None = None
         self.desired_weights: dict[str, DesiredWeights] = {}
@@ -227,6 +230,7 @@
         )
         if not from_peer:
             self.on_weights_observed(instance, model, version)
+        self.on_new_weights(instance)
         self.on_change()
 
     def record_crash(self, name: str, started_ms: int) -> None:
@@ -371,6 +375,7 @@
                 row_version=row.version,
                 source=source,
             )
+            self.on_registered(known, instance)
         self._add_engine_cache(instance)
 
     def _add_engine_cache(self, instance: Instance) -> None:
--- a/src/endivelug/forwarding/dispatcher.py
+++ b/src/endivelug/forwarding/dispatcher.py
@@ -148,6 +148,7 @@
 
     def add_work(self, call: Call, placement: Placement) -> None:
         """Add a placed call to the work of its instance."""
+        self.placer.pace.slow_starts.record_sent(placement.instance.name)
         self.placer.view.loads.add_work(
             placement.instance.name,
             Work(
--- a/src/endivelug/forwarding/first_bytes.py
+++ b/src/endivelug/forwarding/first_bytes.py
@@ -57,6 +57,8 @@
         if work is not None and alone and request.prompt_tokens:
             rate = self.placer.prefill_rate(call.service)
             rate.observe(tokens=work.uncached_tokens, seconds=now - work.sent_at)
+        if work is not None:
+            self.placer.pace.slow_starts.record_first_byte(call, name, work)
         self.view.loads.record_first_byte(name, call.key, now=now)
         self.metrics.record_first_byte(call, now=now)
         if placement.namespace is None:
--- a/src/endivelug/forwarding/forwarder.py
+++ b/src/endivelug/forwarding/forwarder.py
@@ -206,6 +206,7 @@
                 call.instance = None
             finally:
                 self.view.loads.remove_work(name, call.key)
+                self.dispatcher.placer.pace.slow_starts.record_ended(name)
                 self.on_ended(call, placement, outcome)
                 self.dispatcher.schedule_assignment()
             await self.crash_watch.record_outcome(call, placement, outcome)
@@ -262,6 +263,7 @@
         """Update the state of the instance after a failed attempt, and log it."""
         name = placement.instance.name
         load = self.view.loads.of(name)
+        self.dispatcher.placer.pace.slow_starts.record_failure(name, outcome)
         match outcome:
             case NotRun(other_instance=True):
                 self.avoid(name, MOVED_AVOID_S)
@@ -282,6 +284,7 @@
         """Send no requests to an instance for a while, and tell the peers."""
         load = self.view.loads.of(name)
         load.avoid_until = max(load.avoid_until, self.clock() + for_s)
+        self.view.on_avoided(name, for_s)
         self.on_avoid(name, for_s)
 
     async def _fail_blocked(
--- a/src/endivelug/forwarding/pace/upstream_pace.py
+++ b/src/endivelug/forwarding/pace/upstream_pace.py
@@ -8,19 +8,25 @@
 from endivelug.forwarding.cluster_view import ClusterView
 from endivelug.forwarding.instances import Instance
 from endivelug.forwarding.pace.leaving_notices import LeavingNotices
+from endivelug.forwarding.pace.slow_starts import SlowStarts, Traffic
 from endivelug.forwarding.pace.stated_pauses import stated_pause
 from endivelug.forwarding.peer_messages import NoticeKind
 from endivelug.forwarding.requests import ResponseInfo
+from endivelug.forwarding.retry_budget import SharedRetryBudget
+from endivelug.forwarding.shared_amounts import SharedAmounts, SharedAmountTable
 
 # An upstream whose answers all state an unusable time gets one log line in this time.
 FAULT_LOG_INTERVAL_S = 10.0
-# Interval at which notices are checked.
+# Interval at which notices are checked and evidence is exchanged.
 ROUND_S = 0.5
 
 
-class NoticeSender(Protocol):
+class Links(Protocol):
     """The links to the other VMs."""
 
+    shared: SharedAmountTable
+    budget: SharedRetryBudget
+
     def send_notice(self, name: str, kind: NoticeKind, for_s: float) -> None:
         """Send an expiring notice to all VMs."""
 
@@ -29,31 +35,46 @@
     """Pauses, departures and pace of the upstreams, as this VM knows them."""
 
     def __init__(
-        self, *, view: ClusterView, clock: Callable[[], float], rng: random.Random
+        self,
+        *,
+        view: ClusterView,
+        fleet: Traffic,
+        clock: Callable[[], float],
+        rng: random.Random,
     ) -> None:
         self.view = view
         self.clock = clock
         self.notices = LeavingNotices(
             registry=view.registry, send=lambda name, for_s: None, rng=rng
         )
+        self.slow_starts = SlowStarts(view=view, traffic=fleet, clock=clock, rng=rng)
         view.on_leaving = self._announce_leaving
         self._fault_logged_at: dict[str, float] = {}
 
-    def connect(self, peers: NoticeSender) -> None:
+    def connect(self, peers: Links) -> None:
         """Exchange what is known with the other VMs."""
+        self.slow_starts.evidence = SharedAmounts(kind="pace", table=peers.shared)
+        self.slow_starts.share = lambda service: peers.budget.request_share(
+            service, now=self.clock()
+        )
         self.notices.send = lambda name, for_s: peers.send_notice(
             name, NoticeKind.LEAVING, for_s
         )
 
     def gauges(self) -> dict[str, Callable[[], float]]:
         """Return the current values for the metrics, by name."""
-        return {"upstreams_paused": self.paused, "upstreams_leaving": self.leaving}
+        return {
+            "upstreams_paused": self.paused,
+            "upstreams_leaving": self.leaving,
+            "upstreams_in_slow_start": self.slow_starts.count,
+        }
 
     async def run(self) -> None:
-        """Repeat the notices until cancelled."""
+        """Repeat notices and exchange evidence until cancelled."""
         while True:
             await asyncio.sleep(ROUND_S)
             self.notices.repeat(now=self.clock())
+            self.slow_starts.exchange()
 
     def record_head(self, instance: Instance, info: ResponseInfo) -> None:
         """Record what the head of a response from an instance asks for."""
--- a/src/endivelug/forwarding/placement.py
+++ b/src/endivelug/forwarding/placement.py
@@ -20,6 +20,7 @@
 )
 from endivelug.forwarding.engine_choice import (
     BASE_LATENCY_S,
+    LONG_PROMPT_TOKENS,
     Choice,
     EngineState,
     PrefillRate,
@@ -28,6 +29,7 @@
 )
 from endivelug.forwarding.instance_load import InstanceLoad
 from endivelug.forwarding.instances import Instance
+from endivelug.forwarding.pace.controller import WorkSize
 from endivelug.forwarding.pace.upstream_pace import UpstreamPace
 from endivelug.forwarding.prompt_cache import PromptSegment
 from endivelug.forwarding.routes import EngineLimits, Service
@@ -114,7 +116,7 @@
         self.clock = clock
         self.rates: dict[str, PrefillRate] = {}
         self.fleet = Fleet()
-        self.pace = UpstreamPace(view=view, clock=clock, rng=rng)
+        self.pace = UpstreamPace(view=view, fleet=self.fleet, clock=clock, rng=rng)
         self.lookup = CacheLookup(view=view, clock=clock)
         self.engines = EngineCandidates(
             view=view,
@@ -145,7 +147,7 @@
         if service.engine is not None and call.request.model is not None:
             result = self._place_generation(call, service.engine, candidates, blocked)
         else:
-            result = self._place_plain(candidates)
+            result = self._place_plain(call, candidates, blocked)
         if isinstance(result, NoPlacement):
             result.reasons.update(blocked)
             result.retry_at = self._retry_at(call, result)
@@ -187,9 +189,18 @@
         return available
 
     def _place_plain(
-        self, candidates: list[tuple[Instance, InstanceLoad]]
+        self,
+        call: Call,
+        candidates: list[tuple[Instance, InstanceLoad]],
+        blocked: Counter[WaitReason],
     ) -> Placement | NoPlacement:
         now = self.clock()
+        if self.pace.slow_starts.is_active():
+            sizes = {instance.name: WorkSize.SHORT for instance, _ in candidates}
+            held = self.pace.slow_starts.held_back(call.service, sizes)
+            candidates = [item for item in candidates if item[0].name not in held]
+            if held:
+                blocked[WaitReason.WARMING] += len(held)
         states = [
             UpstreamState(
                 name=instance.name,
@@ -214,6 +225,12 @@
         blocked: Counter[WaitReason],
     ) -> Placement | NoPlacement:
         usable = self.engines.usable_engines(call, candidates, blocked)
+        if self.pace.slow_starts.is_active():
+            sizes = {item.instance.name: self._work_size(call, item) for item in usable}
+            held = self.pace.slow_starts.held_back(call.service, sizes)
+            usable = [item for item in usable if item.instance.name not in held]
+            if held:
+                blocked[WaitReason.WARMING] += len(held)
         for sample in self.engines.samples(call, limits, usable):
             result = self._place_on(call, limits, sample)
             if isinstance(result, Placement):
@@ -222,6 +239,19 @@
         # The caller adds what blocks the instances.
         return NoPlacement()
 
+    def _work_size(self, call: Call, item: UsableEngine) -> WorkSize:
+        """Return the size of a prompt for an engine in slow start."""
+        request = call.request
+        if request.prompt_tokens < LONG_PROMPT_TOKENS:
+            return WorkSize.SHORT
+        cached = self.lookup.leading_tokens(
+            item.instance.name,
+            self.engines.namespace(call, item.version),
+            request.prompt,
+        )
+        uncached = request.prompt_tokens - cached
+        return WorkSize.CACHED if uncached < LONG_PROMPT_TOKENS else WorkSize.LONG
+
     def _place_on(
         self, call: Call, limits: EngineLimits, engines: list[UsableEngine]
     ) -> Placement | NoPlacement:
--- a/src/endivelug/forwarding/retry_budget.py
+++ b/src/endivelug/forwarding/retry_budget.py
@@ -135,6 +135,12 @@
         own = self._counts_of(service).requests.total(now=now)
         return (own + self.neighbours.total(service).requests) / self.window_s
 
+    def request_share(self, service: str, *, now: float) -> float:
+        """Return this VM's share of the requests of all VMs in the window."""
+        # A request of this VM that comes now is not counted yet.
+        own = max(1, self._counts_of(service).requests.total(now=now))
+        return own / (own + max(0, self.neighbours.total(service).requests))
+
     def own(self, service: str, *, now: float) -> RetryCount:
         """Return the counts of this VM."""
         counts = self._counts_of(service)
--- a/src/endivelug/forwarding/silence_watch.py
+++ b/src/endivelug/forwarding/silence_watch.py
@@ -112,6 +112,7 @@
             heard_s=_age_s(load.last_heard_at, now) if load.last_heard_at else None,
         )
         self.on_avoid(instance.name, AVOID_NOTICE_S)
+        self.view.on_avoided(instance.name, AVOID_NOTICE_S)
         self._start_probe(instance, self._probe(instance))
 
     def _start_probe(
--- a/src/endivelug/forwarding/wait_reasons.py
+++ b/src/endivelug/forwarding/wait_reasons.py
@@ -18,6 +18,8 @@
         The instance refused or failed requests just now.
     RETRY_LATER : str
         The instance refused a request and stated when to try again.
+    WARMING : str
+        The instance has started or come back just now and gets few requests as yet.
     ORDERED : str
         The instance loads new weights.
     OUTDATED : str
@@ -42,6 +44,7 @@
     SILENT = "silent"
     AVOIDED = "refused or failed just now"
     RETRY_LATER = "asked to be retried later"
+    WARMING = "started or came back just now"
     ORDERED = "loads new weights"
     OUTDATED = "weights too old"
     NO_MODEL = "does not serve the model"
