Try a recovered upstream sooner, and exchange evidence every 0.25 s

Cause: with many VMs an upstream that could be used again stayed idle for up to 1 s, because chance had chosen no VM for the first request; and its limit grew by the other VMs' responses only every 0.5 s. Change: the part of the room that a VM may use of an idle upstream doubles in each further window, at most twice; evidence is exchanged every 0.25 s; an upstream that has run before, with new weights or after a cancelled drain, starts at half of its slots. Checked: tests/test_pace.py with a router whose upstream restarts in its traffic, test_weights_orders, test_silence; trials with the model of measurements/pace.py.

--- a/src/endivelug/forwarding/pace/controller.py
+++ b/src/endivelug/forwarding/pace/controller.py
@@ -19,6 +19,9 @@
 # First limit of an upstream that states itself that it is ready, as a share of its
 # slots.
 START_SHARE = 0.25
+# The same for one that has run before, with new weights or after a cancelled drain: its
+# process is warm, only its cache may be empty.
+RESUMED_SHARE = 0.5
 # First limit of one that failed: one request shows whether it answers.
 PROBE_LIMIT = 1.0
 # What a late response adds to the limit; a good one adds 1. Late responses must lead
@@ -30,6 +33,8 @@
 # A request is sent after this time also beyond the limit: requests that hang, or that
 # were sent before the upstream failed, must not keep it from being tried.
 TRIAL_INTERVAL_S = 0.5
+# Bound on how often the part that a VM may use of an idle upstream doubles.
+MAX_DOUBLINGS = 2.0
 # Time without failures before an upstream counts as warm.
 CLEAN_S = 1.0
 # After this time an upstream that answers is warm, however few requests it got.
@@ -124,6 +129,9 @@
         Responses since the beginning.
     failed_at, evidence_at : float
         Times of the last failure and of the last evidence of any kind.
+    idle_since : float
+        Time since which no VM is known to have a request there, or since which the
+        upstream may be used.
     sent_at : float
         Time of the last request of this VM, or of the beginning.
     window_ends, allotment : float, int
@@ -138,6 +146,7 @@
     failed_at: float = float("-inf")
     reduced_at: float = float("-inf")
     evidence_at: float = float("-inf")
+    idle_since: float = float("-inf")
     sent_at: float = float("-inf")
     window_ends: float = float("-inf")
     allotment: int = 0
@@ -178,9 +187,10 @@
         self.limit = max(PROBE_LIMIT, FAILURE_FACTOR * capped)
         return self.limit != before
 
-    def record_probe_needed(self, *, now: float) -> None:
-        """Begin again with one request, because the upstream was given up."""
+    def record_avoided(self, *, until: float, now: float) -> None:
+        """Begin again with one request, because the upstream is avoided."""
         self.failed_at = self.evidence_at = self.reduced_at = now
+        self.idle_since = max(self.idle_since, until)
         self.limit = PROBE_LIMIT
 
     def record_others(self, requests: int, *, now: float) -> None:
@@ -210,7 +220,8 @@
         The other VMs see the same room until the next reports. Each therefore takes its
         share of it for the age of a report, a fraction by chance, so that all together
         send as many as there is room for on average. The first probe is thus one
-        request and not one from each VM.
+        request and not one from each VM. If chance has chosen nobody, the part that
+        each takes doubles in each further window.
 
         Parameters
         ----------
@@ -219,6 +230,8 @@
         share : float
             Part of the room that this VM may use; see ``window_share``.
         """
+        if used:
+            self.idle_since = now
         room = limit - used
         if room < 1.0 and now >= self.sent_at + TRIAL_INTERVAL_S:
             room = 1.0
@@ -228,7 +241,10 @@
             return True
         if now >= self.window_ends:
             self.window_ends = now + REPORT_AGE_S
-            fraction, whole = math.modf(room * share)
+            idle = (now - max(self.idle_since, self.evidence_at)) / REPORT_AGE_S
+            doublings = min(max(idle - 1.0, 0.0), MAX_DOUBLINGS)
+            part = min(1.0, share * 2.0**doublings)
+            fraction, whole = math.modf(room * part)
             self.allotment = int(whole) + (rng.random() < fraction)
         return self.allotment > 0
 
@@ -250,14 +266,21 @@
     ) -> SlowStart:
         """Limit an upstream that starts or recovers."""
         start = SlowStart(
-            cause=cause, slots=slots, limit=PROBE_LIMIT, began_at=now, sent_at=now
+            cause=cause,
+            slots=slots,
+            limit=PROBE_LIMIT,
+            began_at=now,
+            idle_since=now,
+            sent_at=now,
         )
         match cause:
             case Cause.AVOIDED:
-                start.record_probe_needed(now=now)
-            case Cause.STARTED | Cause.DRAIN_CANCELLED | Cause.NEW_WEIGHTS:
-                # What it runs already is no reason to give it nothing more.
+                start.record_avoided(until=now, now=now)
+            # What it runs already is no reason to give it nothing more.
+            case Cause.STARTED:
                 start.limit = used + start.first_limit
+            case Cause.DRAIN_CANCELLED | Cause.NEW_WEIGHTS:
+                start.limit = used + max(PROBE_LIMIT, RESUMED_SHARE * slots)
         self.starts[name] = start
         return start
 
--- a/src/endivelug/forwarding/pace/slow_starts.py
+++ b/src/endivelug/forwarding/pace/slow_starts.py
@@ -221,13 +221,15 @@
         """Record that an upstream gets nothing for a while, because it failed."""
         if for_s < MIN_AVOIDED_S:
             return
-        start = self.controller.starts.get(name)
-        if start is not None:
-            start.record_probe_needed(now=self.clock())
-            return
         instance = self.view.registry.get(name)
-        if instance is not None and not instance.draining:
+        if instance is None or instance.draining:
+            return
+        if name not in self.controller.starts:
             self._begin(instance, Cause.AVOIDED)
+        start = self.controller.starts.get(name)
+        if start is not None:
+            now = self.clock()
+            start.record_avoided(until=now + for_s, now=now)
 
     def _begin(self, instance: Instance, cause: Cause) -> None:
         if self.traffic.requests_per_s(instance.service) <= 0:
--- a/src/endivelug/forwarding/pace/upstream_pace.py
+++ b/src/endivelug/forwarding/pace/upstream_pace.py
@@ -18,7 +18,7 @@
 # An upstream whose answers all state an unusable time gets one log line in this time.
 FAULT_LOG_INTERVAL_S = 10.0
 # Interval at which notices are checked and evidence is exchanged.
-ROUND_S = 0.5
+ROUND_S = 0.25
 
 
 class Links(Protocol):
