Raise a limit to what other VMs use only if they use far more

Cause: with many VMs in slow start the limit was raised by a quarter of the slots in each interval, whatever the responses, because the running requests counted as safe. Change: they count only where they exceed the limit by half and two, which VMs that keep to the limit do not; this VM's own count too once the upstream answers, so that requests that survived a failure do not hold it at one request. A peer's notice to avoid an upstream counts for its bounded time.

--- a/src/endivelug/forwarding/pace/controller.py
+++ b/src/endivelug/forwarding/pace/controller.py
@@ -33,6 +33,10 @@
 # A request is sent after this time also beyond the limit: requests that hang, or that
 # were sent before the upstream failed, must not keep it from being tried.
 TRIAL_INTERVAL_S = 0.5
+# VMs that limit an upstream exceed the limit together by less than this, because each
+# knows the requests of the others with some delay.
+FREE_USE_FACTOR = 1.5
+FREE_USE_REQUESTS = 2
 # Bound on how often the part that a VM may use of an idle upstream doubles.
 MAX_DOUBLINGS = 2.0
 # Time without failures before an upstream counts as warm.
@@ -193,10 +197,15 @@
         self.idle_since = max(self.idle_since, until)
         self.limit = PROBE_LIMIT
 
-    def record_others(self, requests: int, *, now: float) -> None:
-        """Raise the limit to what other VMs use without failures here."""
-        if requests and now >= self.failed_at + CLEAN_S:
-            self.limit = max(self.limit, requests + self.first_limit)
+    def record_running(self, requests: int, *, now: float) -> None:
+        """Raise the limit if far more requests run there without failures.
+
+        Other VMs then treat the upstream as warm, because only this VM's path to it had
+        failed, or the requests had survived the failure.
+        """
+        used_freely = requests > FREE_USE_FACTOR * self.limit + FREE_USE_REQUESTS
+        if used_freely and now >= self.failed_at + CLEAN_S:
+            self.limit = requests + self.first_limit
 
     def is_warm(self, *, now: float) -> bool:
         """Return whether the upstream needs no limit any more."""
--- a/src/endivelug/forwarding/pace/slow_starts.py
+++ b/src/endivelug/forwarding/pace/slow_starts.py
@@ -181,6 +181,12 @@
                 continue
             if self.evidence is not None:
                 self._apply_others(name, start, self.evidence, now)
+            # Requests of this VM may hang there, unless it answers.
+            loads = self.view.loads
+            running = (
+                loads.total(name) if start.answers else loads.neighbours.total(name)
+            )
+            start.record_running(running.requests, now=now)
             self._publish(name)
             self._own[name] = Evidence()
             self._end_if_warm(name, start, now)
@@ -193,8 +199,6 @@
         start.record_answers(good=good, late=late, now=now)
         if failed and start.record_failure(now=now):
             self._log(name, start, "failures at other VMs")
-        requests = self.view.loads.neighbours.total(name).requests
-        start.record_others(requests, now=now)
 
     def _publish(self, name: str) -> None:
         if self.evidence is not None:
--- a/src/endivelug/forwarding/peer_reports.py
+++ b/src/endivelug/forwarding/peer_reports.py
@@ -195,7 +195,7 @@
                     load = self.view.loads.of(notice.name)
                     if now - load.last_byte_at > RECENT_ANSWER_S:
                         load.avoid_until = max(load.avoid_until, until)
-                        self.view.on_avoided(notice.name, notice.for_s)
+                        self.view.on_avoided(notice.name, until - now)
                 case NoticeKind.STORE_GONE:
                     self.view.avoid_cache_store(notice.name, until)
                 case NoticeKind.REFUSED:
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -116,6 +116,20 @@
     assert held(controller, used={"e1": 40}, now=10.0) == set()
 
 
+# Guards against a VM whose own path to an upstream failed and that gets no room beside
+# the others, and against limits that rise by the delay of the reports alone.
+def test_a_vm_follows_the_others_that_use_an_upstream_freely():
+    _, start = begin(Cause.AVOIDED)
+    start.record_running(50, now=0.5)
+    assert start.limit == 1
+    start.record_running(50, now=2.0)
+    assert start.limit > 50
+    _, start = begin()
+    before = start.limit
+    start.record_running(round(1.3 * before), now=2.0)
+    assert start.limit == before
+
+
 # Guards against a service that starts as a whole and refuses what it could serve.
 def test_cold_upstreams_are_not_limited_while_there_is_no_warm_one():
     controller, start = begin()
