--- a/measurements/_pace_model.py
+++ b/measurements/_pace_model.py
@@ -531,7 +531,12 @@
 def _configuration(route: Route) -> RoutingConfiguration:
     configuration = RoutingConfiguration(
         version=1,
-        limits=CallerLimits(header_bytes=16384, body_bytes=4194304, idle_timeout_s=15),
+        limits=CallerLimits(
+            header_bytes=16384,
+            body_bytes=4194304,
+            header_timeout_s=3.0,
+            idle_timeout_s=15.0,
+        ),
         services={SERVICE: Service(name=SERVICE, max_connections=10**6, engine=None)},
     )
     configuration.add_route(route)
