--- a/measurements/quota.py
+++ b/measurements/quota.py
@@ -162,4 +162,6 @@
     started_s = time.process_time()
     for number in range(DECISIONS):
         limiter.admit("org", quota, 1, now=number / 300)
+        if number % 150 == 0:
+            limiter.end_block({"org": quota}, now=number / 300)
     return (time.process_time() - started_s) * 1e6 / DECISIONS
--- a/src/endivelug/forwarding/quotas/bucket.py
+++ b/src/endivelug/forwarding/quotas/bucket.py
@@ -7,7 +7,8 @@
 of its requests, so that all VMs together admit the rate without oscillating.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from endivelug.forwarding.quotas.quota import Quota, Tolerance
 
@@ -26,8 +27,7 @@
 RETURNING_WEIGHT = 2.0
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class OthersUse:
+class OthersUse(NamedTuple):
     """What the other VMs report about an organisation, in units per second."""
 
     admitted: float = 0.0
@@ -49,6 +49,12 @@
         Time up to which refills and the use of other VMs are in the level.
     share : float
         Part of the limit that the VMs which report to each other may use.
+    rate : float
+        Units per second that these VMs may use.
+    capacity, lowest : float
+        Bounds of the level.
+    largest : float
+        Units of the largest request that is ever admitted.
     """
 
     quota: Quota
@@ -56,6 +62,10 @@
     level: float
     updated_at: float
     share: float = 1.0
+    rate: float = field(init=False)
+    capacity: float = field(init=False)
+    lowest: float = field(init=False)
+    largest: float = field(init=False)
 
     @classmethod
     def full(
@@ -77,33 +87,25 @@
         bucket.level = bucket.capacity
         return bucket
 
-    @property
-    def usable_share(self) -> float:
-        """Part of the limit to use, including that of the allowance.
+    def __post_init__(self) -> None:
+        self._update_bounds()
 
-        The shares of any two groups of VMs that do not hear of each other add up to at
-        most 1, so all groups together stay within the limit and a part of the
-        allowance.
+    def _update_bounds(self) -> None:
+        """Derive the bounds of the level, which each decision needs.
+
+        Without reports of all VMs, the share of the limit is raised by that of a part
+        of the allowance. The shares of groups of VMs that do not hear of each other add
+        up to at most 1, so all groups stay within the limit and this part together.
         """
-        if self.share >= 1.0:
-            return 1.0
         limit = self.tolerance.limit(self.quota)
-        extra = PARTITION_SHARE * self.tolerance.allowance(self.quota) / limit
-        return min(1.0, self.share * (1.0 + extra))
-
-    @property
-    def rate(self) -> float:
-        """Units per second that the VMs which report to each other may use."""
-        return self.quota.rate * self.usable_share
-
-    @property
-    def capacity(self) -> float:
-        """Highest level."""
-        headroom = min(
-            self.quota.rate * LEVEL_TIME_S,
-            HEADROOM_SHARE * self.tolerance.allowance(self.quota),
-        )
-        return (self.quota.burst + headroom) * self.usable_share
+        allowance = self.tolerance.allowance(self.quota)
+        usable = min(1.0, self.share * (1.0 + PARTITION_SHARE * allowance / limit))
+        headroom = min(self.quota.rate * LEVEL_TIME_S, HEADROOM_SHARE * allowance)
+        self.rate = self.quota.rate * usable
+        self.capacity = (self.quota.burst + headroom) * usable
+        self.largest = limit + allowance
+        # After a debt of a whole window no request of that window counts any more.
+        self.lowest = -limit
 
     def advance(self, others: OthersUse, *, now: float) -> None:
         """Add the refill since the last call, and subtract the use of other VMs."""
@@ -112,8 +114,7 @@
             return
         self.updated_at = now
         level = self.level + elapsed_s * (self.rate - others.admitted)
-        # After a debt of a whole window no request of that window counts any more.
-        self.level = max(min(level, self.capacity), -self.tolerance.limit(self.quota))
+        self.level = max(min(level, self.capacity), self.lowest)
 
     def charge(self, units: float) -> None:
         """Subtract units that this VM has admitted."""
@@ -125,12 +126,16 @@
 
     def set_share(self, share: float) -> None:
         """Set the part of the limit to use; a smaller part holds less."""
+        if share == self.share:
+            return
         self.share = share
+        self._update_bounds()
         self.level = min(self.level, self.capacity)
 
     def reconfigure(self, quota: Quota) -> None:
         """Apply a changed quota; the level is kept, up to the new burst."""
         self.quota = quota
+        self._update_bounds()
         self.level = min(self.level, self.capacity)
 
     def covers(self, units: float, others: OthersUse = NO_USE) -> bool:
@@ -161,8 +166,7 @@
         returning : bool
             Whether the caller was refused before and waited as long as it was told.
         """
-        limit = self.tolerance.limit(self.quota) + self.tolerance.allowance(self.quota)
-        if units > limit:
+        if units > self.largest:
             return 0.0
         usable = self.rate + self.level / LEVEL_TIME_S
         offered = own_offered + others.offered
--- a/src/endivelug/forwarding/quotas/quota_limiter.py
+++ b/src/endivelug/forwarding/quotas/quota_limiter.py
@@ -2,7 +2,7 @@
 
 import random
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from endivelug.forwarding.quotas.bucket import NO_USE, Bucket, OthersUse
 from endivelug.forwarding.quotas.quota import Quota, Tolerance
@@ -46,7 +46,8 @@
 @dataclass(slots=True, kw_only=True)
 class _State:
     bucket: Bucket
-    use: OwnUse = field(default_factory=OwnUse)
+    use: OwnUse
+    bounds: ReportBounds
     demand_at: float = 0.0
 
 
@@ -76,6 +77,7 @@
         self.represented_vms = 1
         self._share = 1.0
         self._counted_vms = 1
+        self._bounds_vms = 1
         self._fewer_at: float | None = None
         self._states: dict[str, _State] = {}
 
@@ -115,6 +117,7 @@
         bucket, use = state.bucket, state.use
         if bucket.quota is not quota and bucket.quota != quota:
             bucket.reconfigure(quota)
+            state.bounds = self._bounds(quota)
         state.demand_at = now
         use.offered_units += units
         others = self._others(organisation)
@@ -161,6 +164,8 @@
             Quotas in force by organisation.
         """
         self._update_share(now)
+        vms_changed = self.vms != self._bounds_vms
+        self._bounds_vms = self.vms
         for organisation in self.shared.keys() - self._states.keys():
             # Demand at other VMs lowers the level here, too.
             if organisation in quotas:
@@ -170,8 +175,9 @@
             if quota is None:
                 self._drop(organisation)
                 continue
-            if state.bucket.quota != quota:
+            if vms_changed or state.bucket.quota != quota:
                 state.bucket.reconfigure(quota)
+                state.bounds = self._bounds(quota)
             self._end_block_of(organisation, state, now=now)
 
     def _end_block_of(self, organisation: str, state: _State, *, now: float) -> None:
@@ -179,7 +185,7 @@
         state.bucket.set_share(self._share)
         state.bucket.advance(others, now=now)
         if self.vms > 1 and use.end_block(
-            self._bounds(state), others_offered=others.offered, now=now
+            state.bounds, others_offered=others.offered, now=now
         ):
             self.shared.set_own(organisation, use.reported)
         idle_s = now - state.demand_at
@@ -192,7 +198,12 @@
 
     def _add(self, organisation: str, quota: Quota, *, now: float) -> _State:
         bucket = Bucket.full(quota, self.tolerance, now=now, share=self._share)
-        state = _State(bucket=bucket, use=OwnUse(reported_at=now), demand_at=now)
+        state = _State(
+            bucket=bucket,
+            use=OwnUse(reported_at=now),
+            bounds=self._bounds(quota),
+            demand_at=now,
+        )
         self._states[organisation] = state
         return state
 
@@ -204,13 +215,11 @@
         self, organisation: str, state: _State, units: int, *, now: float
     ) -> None:
         state.use.backlog += units
-        if self.vms > 1 and state.use.early_report(self._bounds(state), now=now):
+        if self.vms > 1 and state.use.early_report(state.bounds, now=now):
             self.shared.set_own(organisation, state.use.reported)
 
-    def _bounds(self, state: _State) -> ReportBounds:
-        return ReportBounds.of(
-            rate=state.bucket.quota.rate, vms=self.vms, over=self.tolerance.over
-        )
+    def _bounds(self, quota: Quota) -> ReportBounds:
+        return ReportBounds.of(rate=quota.rate, vms=self.vms, over=self.tolerance.over)
 
     def _others(self, organisation: str) -> OthersUse:
         values = self.shared.others(organisation)
