Bound what a VM counts of the demand

Cause: a VM without others never ended its blocks, so its demand seemed to grow without end; a request beyond the limit of a window, which is never admitted, took the place of others; reported rates had no bound. Change: blocks end on a single VM, too; such a request is not counted; rates are bounded.

--- a/src/endivelug/forwarding/quotas/bucket.py
+++ b/src/endivelug/forwarding/quotas/bucket.py
@@ -23,6 +23,8 @@
 # Share of the allowance that is divided among the VMs with the limit while some VMs do
 # not report, so that one stopped VM does not lower the limit of the others.
 PARTITION_SHARE = 0.25
+# Smaller limits would overflow in divisions.
+MIN_LIMIT = 1e-9
 # Weight of callers that were refused and waited, compared with new ones.
 RETURNING_WEIGHT = 2.0
 
@@ -97,11 +99,11 @@
         of the allowance. The shares of groups of VMs that do not hear of each other add
         up to at most 1, so all groups stay within the limit and this part together.
         """
-        limit = self.tolerance.limit(self.quota)
+        limit = max(MIN_LIMIT, self.tolerance.limit(self.quota))
         allowance = self.tolerance.allowance(self.quota)
         usable = min(1.0, self.share * (1.0 + PARTITION_SHARE * allowance / limit))
         headroom = min(self.quota.rate * LEVEL_TIME_S, HEADROOM_SHARE * allowance)
-        self.rate = self.quota.rate * usable
+        self.rate = max(MIN_LIMIT, self.quota.rate * usable)
         self.capacity = (self.quota.burst + headroom) * usable
         self.largest = limit + allowance
         # After a debt of a whole window no request of that window counts any more.
--- a/src/endivelug/forwarding/quotas/quota_limiter.py
+++ b/src/endivelug/forwarding/quotas/quota_limiter.py
@@ -115,11 +115,13 @@
         if state is None:
             state = self._add(organisation, quota, now=now)
         bucket, use = state.bucket, state.use
-        if bucket.quota is not quota and bucket.quota != quota:
+        if bucket.quota is not quota:
             bucket.reconfigure(quota)
             state.bounds = self._bounds(quota)
         state.demand_at = now
-        use.offered_units += units
+        if units <= bucket.largest:
+            # One that is never admitted must not take the place of others.
+            use.offered_units += units
         others = self._others(organisation)
         bucket.advance(others, now=now)
         if not bucket.covers(units, others):
@@ -184,9 +186,9 @@
         others, use = self._others(organisation), state.use
         state.bucket.set_share(self._share)
         state.bucket.advance(others, now=now)
-        if self.vms > 1 and use.end_block(
-            state.bounds, others_offered=others.offered, now=now
-        ):
+        if self.vms <= 1 and not any(use.reported):
+            use.end_block_alone()
+        elif use.end_block(state.bounds, others_offered=others.offered, now=now):
             self.shared.set_own(organisation, use.reported)
         idle_s = now - state.demand_at
         if (
--- a/src/endivelug/forwarding/quotas/usage.py
+++ b/src/endivelug/forwarding/quotas/usage.py
@@ -15,6 +15,8 @@
 EARLY_REPORT_S = 0.1
 # The others drop the rates of a VM that is silent for longer, for example frozen.
 RATE_KEPT_S = 2.0
+# Larger numbers could overflow in sums over all VMs.
+MAX_RATE = 2.0**53
 # Changes below this part of the last reported rate are not reported.
 NOTICEABLE_SHARE = 0.125
 # Weight of the last block in the smoothed rate.
@@ -103,15 +105,17 @@
             return False
         return self._set(self.current_offered_per_s)
 
+    def end_block_alone(self) -> None:
+        """End a block of the only VM, which reports to nobody."""
+        self._end_offered()
+        self.backlog = 0.0
+
     def end_block(
         self, bounds: ReportBounds, *, others_offered: float, now: float
     ) -> bool:
         """Set the rates to report after a block; return whether they changed."""
         self._advance(now)
-        offered = (self.offered_units + self.offered_before) / (2 * BLOCK_S)
-        self.offered_per_s = offered
-        self.offered_before, self.offered_units = self.offered_units, 0.0
-        self.smoothed_per_s += SMOOTHING * (offered - self.smoothed_per_s)
+        offered = self._end_offered()
         if not any(self.reported):
             if not self._matters(bounds, others_offered):
                 # Not reported at all, also not later.
@@ -125,6 +129,14 @@
             return before != self.reported
         return self._set(offered)
 
+    def _end_offered(self) -> float:
+        """Return the units per second of the last two blocks, and begin a block."""
+        offered = (self.offered_units + self.offered_before) / (2 * BLOCK_S)
+        self.offered_per_s = offered
+        self.offered_before, self.offered_units = self.offered_units, 0.0
+        self.smoothed_per_s += SMOOTHING * (offered - self.smoothed_per_s)
+        return offered
+
     def _advance(self, now: float) -> None:
         counted_s = min(now - self.reported_at, RATE_KEPT_S)
         self.backlog -= self.reported[0] * counted_s
@@ -147,5 +159,9 @@
 
     def _set(self, offered_per_s: float) -> bool:
         before = self.reported
-        self.reported = (max(0, round(self.backlog / BLOCK_S)), round(offered_per_s))
+        admitted_per_s = max(0.0, self.backlog / BLOCK_S)
+        self.reported = (
+            round(min(MAX_RATE, admitted_per_s)),
+            round(min(MAX_RATE, offered_per_s)),
+        )
         return self.reported != before
--- a/tests/test_quota_bucket.py
+++ b/tests/test_quota_bucket.py
@@ -114,6 +114,25 @@
     assert use.end_block(BOUNDS, others_offered=90.0, now=2 * BLOCK_S)
 
 
+# Guards against counts of a VM without others that grow without end, and are reported
+# at once when a second VM appears.
+def test_a_single_vm_keeps_no_backlog():
+    use = OwnUse()
+    for _ in range(100):
+        use.backlog += 50.0
+        use.offered_units += 50.0
+        use.end_block_alone()
+    assert (use.backlog, use.offered_per_s) == (0.0, 100.0)
+
+
+# Guards against numbers of a peer's configuration or requests that no report can hold.
+def test_reported_rates_are_bounded():
+    use = OwnUse()
+    use.backlog = use.offered_units = 1e300
+    assert use.end_block(BOUNDS, others_offered=0.0, now=BLOCK_S)
+    assert use.reported == (2**53, 2**53)
+
+
 # Guards against a steep rise that the others hear of only after a block.
 def test_a_steep_rise_is_reported_at_once():
     use = OwnUse()
--- a/tests/test_quota_vms.py
+++ b/tests/test_quota_vms.py
@@ -1,5 +1,6 @@
 """Many VMs with delayed and lost reports."""
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from measurements._quota_model import Arrival, conforming
@@ -106,6 +107,21 @@
     assert late >= 0.9 * quota.rate * 16.0
 
 
+# Guards against a request beyond the limit of a whole window, which takes the place of
+# others in the demand, and against a single VM that admits ever less.
+def test_a_single_vm_admits_the_rate_beside_requests_that_are_too_large():
+    quota = make_quota(rate=200.0, burst=0.0)
+    simulated = make_vms(1, vms=1, quota=quota)
+    arrivals = make_arrivals(1, vms=1, per_s=400.0, until=30.0, units=1, uneven=False)
+    too_large = [Arrival(at=number / 2, vm=0, units=10**15) for number in range(60)]
+    course = simulated.run(
+        sorted([*arrivals, *too_large], key=lambda item: item.at), until=30.0
+    )
+    assert max(units for _, units in course.admitted) == 1
+    late = [at for at, _ in course.admitted if at >= 10.0]
+    assert len(late) == pytest.approx(200 * 20, rel=0.1)
+
+
 # Guards against a request that is refused because the same was refused before: what
 # was refused takes nothing from the bucket.
 def test_a_burst_at_one_vm_is_admitted_and_the_next_waits_for_the_refill():
