--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -13,7 +13,7 @@
 
 from .faults import Faults
 from .promises import GuaranteeChecker
-from .world import ISOLATED, ORGANISATIONS, running_environment
+from .world import ISOLATED, ORGANISATIONS, QUOTAS, running_environment
 
 CALLERS = 12
 # Time without faults before the first fault and after the last one.
@@ -60,6 +60,7 @@
             key_periods=environment.key_periods,
             organisations=ORGANISATIONS,
             isolated=ISOLATED,
+            quotas=QUOTAS,
         )
         return SoakResult(
             seed=seed,
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -1,5 +1,6 @@
 """Checks the product's guarantees against what callers and upstreams observed."""
 
+from bisect import bisect_left
 from collections import defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -19,6 +20,22 @@
 MIN_REQUESTS = 30
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class RequestQuota:
+    """Quota of an organisation in requests, and what is tolerated beyond it."""
+
+    rate: float
+    burst: float
+    window_s: float
+    over: float
+    slack: float
+
+    @property
+    def most_runs(self) -> float:
+        """Most runs in any window."""
+        return (self.rate * self.window_s + self.burst) * (1 + self.over) + self.slack
+
+
 @dataclass(slots=True, kw_only=True)
 class KeyPeriod:
     """A period in which a key was valid (``allowed``) or revoked.
@@ -74,6 +91,7 @@
     key_periods: list[KeyPeriod]
     organisations: dict[str, str]
     isolated: set[str]
+    quotas: dict[str, RequestQuota] = field(default_factory=dict)
 
     def violations(self) -> list[str]:
         """Return one line for each violation."""
@@ -99,6 +117,7 @@
             violations
             + self._check_namespaces()
             + self._check_retry_budget()
+            + self._check_quotas()
             + self._check_availability()
         )
 
@@ -128,6 +147,10 @@
         if outcome.status in NOT_RUN_STATUSES and outcome.kind == "order" and runs:
             violations.append(f"refused as not run, but ran: {outcome}")
         organisation = self.organisations.get(outcome.key)
+        if outcome.status == 429 and runs:
+            violations.append(f"refused over its quota, but ran: {outcome}")
+        if outcome.status == 429 and organisation not in self.quotas:
+            violations.append(f"refused without a quota: {outcome}")
         violations += [
             f"wrong organisation: {outcome.request} {run.organisation}"
             for run in runs
@@ -208,6 +231,26 @@
                     break
         return violations
 
+    def _check_quotas(self) -> list[str]:
+        violations = []
+        for organisation, quota in self.quotas.items():
+            times = sorted(
+                run.at
+                for runs in self.record.runs.values()
+                for run in runs
+                if run.organisation == organisation
+            )
+            most = max(
+                (
+                    bisect_left(times, begin + quota.window_s) - first
+                    for first, begin in enumerate(times)
+                ),
+                default=0,
+            )
+            if most > quota.most_runs:
+                violations.append(f"quota: {organisation} ran {most} in a window")
+        return violations
+
     def _check_availability(self) -> list[str]:
         all_components = {component for component, _, _ in self.disturbances.spans}
         outcomes = [
@@ -215,6 +258,8 @@
             for item in self.outcomes
             if item.key != "unknown"
             and item.status != 401
+            # Any other refusal of this kind is a violation by itself.
+            and item.status != 429
             and self.disturbances.none_during(
                 all_components, item.sent_at, item.ended_at
             )
--- a/tests/soak/routers.py
+++ b/tests/soak/routers.py
@@ -26,6 +26,9 @@
     "retryBudgetRatio": 0.2,
     "retrySlack": 52,
     "budgetWindowS": 10,
+    "quotaWindowS": 8,
+    "quotaOver": 0.1,
+    "quotaSlack": 15,
 }
 
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -12,9 +12,9 @@
 from platform_standins import StoreStandIn, running_store
 
 from .callers import Callers
-from .promises import Disturbances, KeyPeriod
+from .promises import Disturbances, KeyPeriod, RequestQuota
 from .proxy import Proxy
-from .routers import Router
+from .routers import BOUNDS, Router
 from .upstreams import SoakUpstream, UpstreamRecord
 
 ENGINES = 3
@@ -24,6 +24,16 @@
 CHANGING_KEY = "k3"
 ORGANISATIONS = {"k1": "org1", "k2": "org2", "k3": "org3"}
 ISOLATED = {"org1"}
+# Less than what the callers ask for, so that the quota is in force all the time.
+QUOTAS = {
+    "org2": RequestQuota(
+        rate=5,
+        burst=5,
+        window_s=BOUNDS["quotaWindowS"],
+        over=BOUNDS["quotaOver"],
+        slack=BOUNDS["quotaSlack"],
+    )
+}
 
 
 class Environment:
@@ -126,7 +136,12 @@
 
     def _document(self) -> dict[str, Any]:
         tenants = [
-            {"name": name, "apiKeys": [key], "isolated": name in ISOLATED}
+            {
+                "name": name,
+                "apiKeys": [key],
+                "isolated": name in ISOLATED,
+                **_quota_of(name),
+            }
             for key, name in ORGANISATIONS.items()
             if self.changing_key_allowed or key != CHANGING_KEY
         ]
@@ -135,6 +150,11 @@
         )
 
 
+def _quota_of(name: str) -> dict[str, float]:
+    quota = QUOTAS.get(name)
+    return {"ratePerS": quota.rate, "burst": quota.burst} if quota else {}
+
+
 @contextlib.asynccontextmanager
 async def running_environment(
     *, rng: random.Random, routers: int, folder: Path
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,7 +7,7 @@
 
 from soak.__main__ import soak
 from soak.callers import Outcome
-from soak.promises import Disturbances, GuaranteeChecker, KeyPeriod
+from soak.promises import Disturbances, GuaranteeChecker, KeyPeriod, RequestQuota
 from soak.upstreams import Run, UpstreamRecord
 
 # Add each seed that violated a guarantee, with a comment on the cause.
@@ -101,6 +101,26 @@
     assert any(line.startswith(expected) for line in violations), violations
 
 
+# Guards against not reporting a quota that is exceeded, a refusal after a run, or one
+# of an organisation without a quota.
+def test_an_exceeded_quota_is_reported():
+    quota = RequestQuota(rate=1, burst=1, window_s=8, over=0, slack=1)
+    refused = make_outcome(status=429, kind="look", body=b"")
+    runs = [make_run(request=f"q{number}", at=50 + number / 2) for number in range(11)]
+    outcomes = [
+        make_outcome(request=run.request, body=run.request.encode()) for run in runs
+    ]
+    limited = {"quotas": {"org1": quota}}
+    assert check(*outcomes[:10], runs=runs[:10], **limited) == []
+    (line,) = check(*outcomes, runs=runs, **limited)
+    assert line.startswith("quota: org1 ran 11")
+    assert check(refused, **limited) == []
+    (line,) = check(refused, runs=[make_run()], **limited)
+    assert line.startswith("refused over its quota, but ran")
+    (line,) = check(refused)
+    assert line.startswith("refused without a quota")
+
+
 # Guards against not reporting a cache namespace that several weights versions, or an
 # isolated and another organisation, share.
 def test_shared_namespaces_are_reported():
