--- a/tests/test_platform_boundary.py
+++ b/tests/test_platform_boundary.py
@@ -11,6 +11,7 @@
     r"Token-Usage|Deadline-Ms|Response-Seal|Not-Executed|Weight-Versions|Tenant)"
     r"|rows-(tx|get|feed|parts)|blob-(put|get|drop|list)|kv-(events|list|move)"
     r"|coldRemainingMs|trafficSplit|targetLatencyMs|kvStoreAddr|kvCapacityTokens"
+    r"|ratePerS|plainTokens|token_stream|quotaWindowS|quotaOver|quotaSlack"
     r"|retryBudgetRatio|listenAddrs|internalPorts|ENDIVELUG_NODE_FILE",
     re.IGNORECASE,
 )
