--- a/tests/test_platform_boundary.py
+++ b/tests/test_platform_boundary.py
@@ -12,6 +12,7 @@
     r"|Server-Leaving"
     r"|rows-(tx|get|feed|parts)|blob-(put|get|drop|list)|kv-(events|list|move)"
     r"|coldRemainingMs|trafficSplit|targetLatencyMs|kvStoreAddr|kvCapacityTokens"
+    r"|ratePerS|plainTokens|token_stream|quotaWindowS|quotaOver|quotaSlack"
     r"|retryBudgetRatio|listenAddrs|internalPorts|ENDIVELUG_NODE_FILE",
     re.IGNORECASE,
 )
