--- a/src/endivelug/forwarding/buffers/client_guard.py
+++ b/src/endivelug/forwarding/buffers/client_guard.py
@@ -150,6 +150,8 @@
         now = self.clock()
         for holder in self.account.overdue(now=now):
             self._close(holder, _slow_reason(holder))
+        # Connections to upstreams return their charges without a call of this object.
+        self._serve_waiters()
         account = self.account
         while self._waiters or account.held_bytes > account.total_bytes:
             waiting = self._waiters[0].holder if self._waiters else None
--- a/src/endivelug/forwarding/buffers/memory_account.py
+++ b/src/endivelug/forwarding/buffers/memory_account.py
@@ -81,9 +81,8 @@
     @property
     def small(self) -> bool:
         """Whether the holder may use the reserve for small requests."""
-        return self.expected_bytes is not None and (
-            self.expected_bytes <= SMALL_BODY_BYTES
-        )
+        size = self.held_bytes if self.expected_bytes is None else self.expected_bytes
+        return size <= SMALL_BODY_BYTES
 
     @property
     def waits_for_client(self) -> bool:
--- a/src/endivelug/forwarding/buffers/request_reader.py
+++ b/src/endivelug/forwarding/buffers/request_reader.py
@@ -3,6 +3,7 @@
 import asyncio
 import sys
 from collections.abc import Awaitable, Callable
+from http import HTTPStatus
 from http.client import responses
 from typing import Any, cast
 
@@ -24,6 +25,7 @@
 )
 from endivelug.forwarding.buffers.held_body import HeldBody
 from endivelug.forwarding.buffers.memory_account import SMALL_BODY_BYTES
+from endivelug.forwarding.cluster_view import MAX_LOGGED_REASON
 
 # Interval in which a body that waits for room looks whether its caller has left.
 CLOSED_CHECK_INTERVAL_S = 1.0
@@ -101,10 +103,7 @@
             return None
         organisation, limit = None, SMALL_BODY_BYTES
         if self.check_head is not None:
-            fields = list(headers.get_all())
-            checked = self.check_head(
-                start_line.method, start_line.path, fields, length or 0
-            )
+            checked = self._check(self.check_head, length or 0)
             if isinstance(checked, HeadRefused):
                 self._refuse_head(checked, length)
             else:
@@ -169,6 +168,20 @@
         """IP address of the client."""
         return remote_address(self.connection)
 
+    def _check(
+        self, check_head: HeadCheck, body_bytes: int
+    ) -> HeadRefused | HeadAccepted:
+        line, fields = self.line, list(self.headers.get_all())
+        try:
+            return check_head(line.method, line.path, fields, body_bytes)
+        except Exception as error:
+            self.guard.log(
+                "handler-failed",
+                path=line.path[:MAX_LOGGED_REASON],
+                reason=repr(error)[:MAX_LOGGED_REASON],
+            )
+            return HeadRefused(status=HTTPStatus.BAD_GATEWAY, headers=[], body=b"")
+
     def _refuse_head(self, refused: HeadRefused, length: int | None) -> None:
         self.refused = refused
         expects = "Expect" in self.headers
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -1,10 +1,13 @@
 """What clients hold in a router, and that it is returned on every way out."""
 
 import asyncio
+import errno
 import json
+import socket
 
 import pytest
 
+from endivelug.forwarding.buffers.acceptor import PAUSE_S, Acceptor
 from endivelug.forwarding.buffers.client_guard import CloseReason
 from endivelug.forwarding.buffers.held_body import READ_BYTES
 from endivelug.forwarding.buffers.memory_account import SMALL_BODY_BYTES
@@ -340,6 +343,62 @@
     run_scenario(scenario)
 
 
+class FullSocket:
+    """A listener with a connection that cannot be accepted for want of descriptors."""
+
+    def __init__(self, listener):
+        self.listener = listener
+        self.accepts = 0
+
+    def fileno(self):
+        return self.listener.fileno()
+
+    def accept(self):
+        self.accepts += 1
+        raise OSError(errno.EMFILE, "no descriptors")
+
+
+# Guards against a process that uses up its processor while it has no descriptors left.
+def test_accepting_pauses_without_descriptors():
+    async def scenario():
+        acceptor = Acceptor(
+            has_room=lambda: True,
+            on_accepted=lambda stream, address: None,
+            max_buffer_size=1024,
+            read_chunk_size=1024,
+        )
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            full = FullSocket(listener)
+            acceptor.sockets.append(full)
+            acceptor._resume(full)
+            with socket.create_connection(listener.getsockname()):
+                await wait_until(lambda: full.accepts >= 2)
+                await asyncio.sleep(4 * PAUSE_S)
+            assert full.accepts == acceptor.pauses <= 8
+            full.close = lambda: None
+            acceptor.stop()
+
+    asyncio.run(scenario())
+
+
+# Guards against a caller without an answer after a fault in the check of its head.
+def test_a_fault_in_the_check_of_a_head_is_answered():
+    async def scenario(system):
+        def fail(*_):
+            raise RuntimeError("fault")
+
+        system.node.front_server.check_head = fail
+        for length in (10, LARGE):
+            client = await Client.connect(system)
+            client.send_head(length=length)
+            client.writer.write(bytes(length))
+            assert (await client.read_response())[0] == 502
+        assert [name for name, _ in system.log.lines].count("handler-failed") == 2
+        await wait_until_empty(system)
+
+    run_scenario(scenario)
+
+
 # Guards against readiness checks that fail, and operators that see no metrics, because
 # clients keep connections to these ports open.
 def test_the_operators_ports_answer_beside_idle_connections():
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -48,6 +48,14 @@
     assert load(tmp_path, document).cores == 1.5
 
 
+# Guards against a process that does not know the memory and the descriptors of its VM.
+def test_the_limits_of_the_vm_are_read(tmp_path):
+    assert load(tmp_path, DOCUMENT).memory_mb == 0
+    document = {**DOCUMENT, "limits": {"memoryMb": 160, "maxFds": 1638}}
+    settings = load(tmp_path, document)
+    assert (settings.memory_mb, settings.max_fds) == (160, 1638)
+
+
 # Guards against reporting only the first error, so that the operator has to correct the
 # settings one error at a time.
 def test_all_errors_are_reported_at_once(tmp_path):
