Charge a short body that came with its head without a holder

Change: a body of at most 32 KiB that was read together with its head cannot stall, so it is charged by one addition and needs neither a holder nor a deadline; the reserves are integers; reading from an upstream is reconsidered only with something unread.

--- a/src/endivelug/forwarding/buffers/client_guard.py
+++ b/src/endivelug/forwarding/buffers/client_guard.py
@@ -132,6 +132,18 @@
         self._serve_waiters()
         return waiter.granted
 
+    def try_charge(self, count: int) -> bool:
+        """Charge the bytes of a short body, unless the account is full."""
+        if self.account.held_bytes + count > self.account.total_bytes:
+            return False
+        self.account.add(count)
+        return True
+
+    def release_bytes(self, count: int) -> None:
+        """Return what ``try_charge`` has charged."""
+        self.account.add(-count)
+        self._serve_waiters()
+
     def release(self, holder: Holder) -> None:
         """Return what a holder has charged, and end its wait."""
         self._closers.pop(holder, None)
--- a/src/endivelug/forwarding/buffers/memory_account.py
+++ b/src/endivelug/forwarding/buffers/memory_account.py
@@ -22,10 +22,10 @@
 MIN_TOTAL_BYTES = 36 * MEBIBYTE
 # Bodies up to this length are small; the reserve for them admits them in any state.
 SMALL_BODY_BYTES = 64 * 1024
-SMALL_RESERVE_PART = 1 / 12
+SMALL_RESERVE_DIVISOR = 12
 # Reserve by which the body that lacks the least can always be completed, so that bodies
 # that wait for each other cannot fill the account for good.
-COMPLETION_RESERVE_PART = 1 / 8
+COMPLETION_RESERVE_DIVISOR = 8
 
 
 def account_bytes(memory_mb: float) -> int:
@@ -234,8 +234,9 @@
         )
 
     def _limit(self, *, small: bool) -> int:
-        reserved = COMPLETION_RESERVE_PART + (0.0 if small else SMALL_RESERVE_PART)
-        return int(self.total_bytes * (1.0 - reserved))
+        total = self.total_bytes
+        limit = total - total // COMPLETION_RESERVE_DIVISOR
+        return limit if small else limit - total // SMALL_RESERVE_DIVISOR
 
     def _over_share(
         self,
--- a/src/endivelug/forwarding/buffers/request_reader.py
+++ b/src/endivelug/forwarding/buffers/request_reader.py
@@ -23,7 +23,7 @@
     HeadCheck,
     HeadRefused,
 )
-from endivelug.forwarding.buffers.held_body import HeldBody
+from endivelug.forwarding.buffers.held_body import READ_BYTES, HeldBody
 from endivelug.forwarding.buffers.memory_account import SMALL_BODY_BYTES
 from endivelug.forwarding.cluster_view import MAX_LOGGED_REASON
 
@@ -58,6 +58,18 @@
         Time at which a head that has begun must be complete; infinite before.
     """
 
+    # One reader is made for each request; defaults of the class cost no time there.
+    head_deadline: float = float("inf")
+    accepted: HeadAccepted | None = None
+    refused: HeadRefused | None = None
+    body: HeldBody | None = None
+    _received: bytes = b""
+    _received_charge: int = 0
+    _answered: bool = False
+    _linger: asyncio.TimerHandle | None = None
+    _linger_until: float = 0.0
+    _dropped_bytes: int = 0
+
     def __init__(
         self,
         *,
@@ -72,16 +84,8 @@
         self.check_head = check_head
         self.on_begun = on_begun
         self.on_complete = on_complete
-        self.head_deadline = float("inf")
         self.line: RequestStartLine
         self.headers: HTTPHeaders
-        self.accepted: HeadAccepted | None = None
-        self.refused: HeadRefused | None = None
-        self.body: HeldBody | None = None
-        self._answered = False
-        self._linger: asyncio.TimerHandle | None = None
-        self._linger_until = 0.0
-        self._dropped_bytes = 0
 
     @property
     def buffered_bytes(self) -> int:
@@ -109,7 +113,7 @@
             else:
                 self.accepted = checked
                 organisation, limit = checked.organisation, checked.body_limit
-        if self._answered:
+        if self._answered or (length is not None and self._take_received(length)):
             return None
         # The configured limit applies, with an answer of its own.
         self.connection.set_max_body_size(sys.maxsize)
@@ -130,6 +134,8 @@
             self._dropped_bytes += len(chunk)
             return None
         if body is None:
+            if self._received_charge:
+                self._received += chunk
             return None
         if self.refused is not None:
             self.guard.record_progress(body.holder, len(chunk))
@@ -150,16 +156,27 @@
     def on_connection_close(self) -> None:
         """Return the memory of a request whose connection closed before its end."""
         self.on_begun(self)
-        self._release()
+        self.release()
 
     def close(self) -> None:
         """Close the connection."""
-        self._release()
+        self.release()
         self.connection.close()
 
-    def _release(self) -> None:
+    def take_body(self) -> bytes:
+        """Return the complete body; its charge stays until ``release``."""
+        if self.body is not None:
+            return self.body.complete()
+        received, self._received = self._received, b""
+        return received
+
+    def release(self) -> None:
+        """Return what the request has charged; a second call has no effect."""
         if self.body is not None:
             self.body.release()
+        if self._received_charge:
+            self.guard.release_bytes(self._received_charge)
+            self._received_charge = 0
         if self._linger is not None:
             self._linger.cancel()
 
@@ -182,6 +199,16 @@
             )
             return HeadRefused(status=HTTPStatus.BAD_GATEWAY, headers=[], body=b"")
 
+    def _take_received(self, length: int) -> bool:
+        """Return whether a short body came with its head, so that nothing can stall."""
+        if length > READ_BYTES or length > self.buffered_bytes:
+            return False
+        if self.refused is None:
+            if not self.guard.try_charge(length):
+                return False
+            self._received_charge = length
+        return True
+
     def _refuse_head(self, refused: HeadRefused, length: int | None) -> None:
         self.refused = refused
         expects = "Expect" in self.headers
@@ -210,7 +237,7 @@
     def _answer(self, refused: HeadRefused) -> None:
         """Send a refusal before the body is read, then drop the rest of it."""
         self._answered = True
-        self._release()
+        self.release()
         stream = self.connection.stream
         if stream is None or stream.closed():
             return
--- a/src/endivelug/forwarding/front_server.py
+++ b/src/endivelug/forwarding/front_server.py
@@ -297,8 +297,7 @@
         def on_end(ended: asyncio.Task[None]) -> None:
             tasks.pop(writer, None)
             writer.release()
-            if reader.body is not None:
-                reader.body.release()
+            reader.release()
 
         task.add_done_callback(on_end)
 
@@ -311,7 +310,7 @@
     async def _handle(self, reader: RequestReader, writer: Writer) -> None:
         line, refused = reader.line, reader.refused
         try:
-            body = b"" if reader.body is None else reader.body.complete()
+            body = reader.take_body()
             if refused is not None:
                 await writer.start(refused.status, "", refused.headers, refused.body)
             elif reader.accepted is not None:
--- a/src/endivelug/forwarding/upstream_connection.py
+++ b/src/endivelug/forwarding/upstream_connection.py
@@ -304,6 +304,9 @@
     def _update_reading(self) -> None:
         """Read from the socket only while little is unparsed or unread."""
         self._update_charge()
+        little = self._buffered_bytes <= MIN_BUFFERED_BYTES // 2
+        if little and not self._paused and self._next_step is None:
+            return
         if self._lost or self._transport.is_closing():
             return
         full = self.account is not None and self.account.is_full
