--- a/src/endivelug/forwarding/buffers/client_guard.py
+++ b/src/endivelug/forwarding/buffers/client_guard.py
@@ -132,6 +132,18 @@
         self._serve_waiters()
         return waiter.granted
 
+    def try_charge(self, count: int) -> bool:
+        """Charge the bytes of a short body, unless the account is full."""
+        if self.account.held_bytes + count > self.account.total_bytes:
+            return False
+        self.account.add(count)
+        return True
+
+    def release_bytes(self, count: int) -> None:
+        """Return what ``try_charge`` has charged."""
+        self.account.add(-count)
+        self._serve_waiters()
+
     def release(self, holder: Holder) -> None:
         """Return what a holder has charged, and end its wait."""
         self._closers.pop(holder, None)
@@ -150,6 +162,8 @@
         now = self.clock()
         for holder in self.account.overdue(now=now):
             self._close(holder, _slow_reason(holder))
+        # Connections to upstreams return their charges without a call of this object.
+        self._serve_waiters()
         account = self.account
         while self._waiters or account.held_bytes > account.total_bytes:
             waiting = self._waiters[0].holder if self._waiters else None
