Refuse early and start slowly only where the settings ask for it

Cause: both changed decisions of every deployment. Change: NodeSettings.protects_upstreams switches them; the adapter reads it from the parts that the settings list. Tests of the whole router have it on.

--- a/src/endivelug/forwarding/node.py
+++ b/src/endivelug/forwarding/node.py
@@ -108,8 +108,12 @@
             clock=self.clock,
             rng=rng,
         )
-        self.placer.fleet.requests_per_s = self._requests_per_s
+        self.placer.fleet.requests_per_s = lambda service: self.budget.requests_per_s(
+            service, now=self.clock()
+        )
         self.dispatcher = Dispatcher(placer=self.placer, clock=self.clock)
+        self.placer.pace.slow_starts.enabled = settings.protects_upstreams
+        self.dispatcher.admission.enabled = settings.protects_upstreams
         self.view.on_change = self.dispatcher.schedule_assignment
         self.sync = StateSync(
             store=self.platform.store, view=self.view, rng=rng, log=log
@@ -178,7 +182,9 @@
             view=self.view,
             pool=self.pool,
             is_needed=self.peers.follows_store,
-            on_avoid=self._announce_store_unreachable,
+            on_avoid=lambda address, for_s: self.peers.send_notice(
+                address, NoticeKind.STORE_GONE, for_s
+            ),
             clock=self.clock,
             rng=rng,
             log=log,
@@ -325,18 +331,15 @@
             self.budget.vms = self.peers.max_vms
             self.placer.fleet.vms = self.peers.vms
 
-    def _requests_per_s(self, service: str) -> float:
-        return self.budget.requests_per_s(service, now=self.clock())
-
     def _is_candidate(self) -> bool:
         """Return whether this VM should try to acquire the order lease.
 
         Only relays receive each other's reports. The first relay by name tries at once,
         each further one later.
         """
+        now = self.clock()
         if self.stopping or not self.view.complete or not self.join.joined:
             return False
-        now = self.clock()
         if not self.peers.overlay.is_relay or self.peers.peer_holds_lease():
             self.vacant_since = now
             return False
@@ -348,9 +351,6 @@
     def _announce_refused(self, digest: str, for_s: float) -> None:
         self.peers.send_notice(digest, NoticeKind.REFUSED, for_s)
 
-    def _announce_store_unreachable(self, address: str, for_s: float) -> None:
-        self.peers.send_notice(address, NoticeKind.STORE_GONE, for_s)
-
     def _instance_removed(self, instance: Instance) -> None:
         self.pool.close_idle(instance.address)
         if not self.view.loads.of(instance.name).work:
--- a/src/endivelug/forwarding/node_settings.py
+++ b/src/endivelug/forwarding/node_settings.py
@@ -38,6 +38,9 @@
     quota_window_s, quota_over, quota_slack : float
         Length of the windows in which quotas hold, and what may run beyond a quota in
         each: a part of it, and a number of its units.
+    protects_upstreams : bool
+        Whether waiting requests that clearly come too late are refused early, and
+        upstreams that start or recover get few requests at first.
     memory_mb : float
         Memory of the VM in MiB; 0 if it is not stated.
     max_fds : int
@@ -63,5 +66,6 @@
     quota_window_s: float = DEFAULT_QUOTA_WINDOW_S
     quota_over: float = DEFAULT_QUOTA_OVER
     quota_slack: float = DEFAULT_QUOTA_SLACK
+    protects_upstreams: bool = False
     memory_mb: float = 0.0
     max_fds: int = 0
--- a/src/endivelug/forwarding/overload/control.py
+++ b/src/endivelug/forwarding/overload/control.py
@@ -106,6 +106,11 @@
     ----------
     queue : RequestQueue
         The waiting calls of this VM.
+
+    Attributes
+    ----------
+    enabled : bool
+        Whether calls are refused early at all.
     """
 
     def __init__(
@@ -114,6 +119,7 @@
         self.view = view
         self.queue = queue
         self.clock = clock
+        self.enabled = True
         self.services: dict[str, _ServiceState] = {}
 
     def record_arrival(self, call: Call) -> None:
@@ -197,7 +203,7 @@
         flow: Flow,
     ) -> Estimate | None:
         """Return when a call would be sent if that is clearly too late, or None."""
-        if call.runs or call.streaming:
+        if not self.enabled or call.runs or call.streaming:
             # The caller could not be told that it did not run.
             return None
         needed_s = (
--- a/src/endivelug/forwarding/pace/slow_starts.py
+++ b/src/endivelug/forwarding/pace/slow_starts.py
@@ -61,6 +61,8 @@
 
     Attributes
     ----------
+    enabled : bool
+        Whether upstreams get a slow start at all.
     evidence : SharedAmounts or None
         Good, late and failed responses in the current interval, by upstream in slow
         start; None while this VM is not connected to others.
@@ -81,6 +83,7 @@
         self.clock = clock
         self.rng = rng
         self.controller = PaceController()
+        self.enabled = True
         self.evidence: SharedAmounts | None = None
         self.share: Callable[[str], float] = lambda service: 1.0
         self.created_at = clock()
@@ -236,7 +239,8 @@
             start.record_avoided(until=now + for_s, now=now)
 
     def _begin(self, instance: Instance, cause: Cause) -> None:
-        if self.traffic.requests_per_s(instance.service) <= 0:
+        has_traffic = self.traffic.requests_per_s(instance.service) > 0
+        if not self.enabled or not has_traffic:
             return
         name = instance.name
         start = self.controller.begin(
--- a/src/endivelug/platform/settings.py
+++ b/src/endivelug/platform/settings.py
@@ -54,6 +54,11 @@
         self._add_error(section, key, value, "write true or false")
         return False
 
+    def lists(self, key: str, name: str) -> bool:
+        """Return whether an optional list has a name."""
+        value = self._value("", key)
+        return isinstance(value, list) and name in value
+
     def first_port(self) -> int:
         value = self._value("", "internalPorts")
         if isinstance(value, list) and value and type(value[0]) is int:
@@ -120,6 +125,8 @@
         ),
         quota_over=reader.number_or("bounds", "quotaOver", DEFAULT_QUOTA_OVER),
         quota_slack=reader.number_or("bounds", "quotaSlack", DEFAULT_QUOTA_SLACK),
+        # The platform judges the health of upstreams where it lists this part.
+        protects_upstreams=reader.lists("contracts", "health"),
         memory_mb=reader.optional_number("limits", "memoryMb"),
         max_fds=int(reader.optional_number("limits", "maxFds")),
     )
--- a/tests/router_process.py
+++ b/tests/router_process.py
@@ -40,6 +40,7 @@
         "retry_ratio": 0.2,
         "retry_slack": 50.0,
         "retry_window_s": 10.0,
+        "protects_upstreams": True,
     }
     return NodeSettings(**{**values, **changes})
 
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -68,6 +68,14 @@
     assert (settings.memory_mb, settings.max_fds) == (160, 1638)
 
 
+# Guards against early refusals and slow starts that the deployment does not ask for.
+def test_upstreams_are_protected_where_the_settings_list_it(tmp_path):
+    assert not load(tmp_path, DOCUMENT).protects_upstreams
+    document = {**DOCUMENT, "contracts": ["base", "health"]}
+    assert load(tmp_path, document).protects_upstreams
+    assert not load(tmp_path, {**DOCUMENT, "contracts": 7}).protects_upstreams
+
+
 # Guards against reporting only the first error, so that the operator has to correct the
 # settings one error at a time.
 def test_all_errors_are_reported_at_once(tmp_path):
