Move the router's own responses and gauges out of forwarder and node

Change: ErrorResponses ends calls without a response of an upstream, node_gauges registers the values for the metrics. Nothing else changes. Checked: tests of the forwarding path, clients' memory, quotas, unforeseen errors, docs.

--- a/src/endivelug/forwarding/buffers/admission.py
+++ b/src/endivelug/forwarding/buffers/admission.py
@@ -69,11 +69,15 @@
                 method=method, target=target, headers=headers, now=self.clock()
             )
         except EndivelugError as error:
-            return self.response("", 400, str(error))
+            return router_response(self.wire, "", 400, str(error))
         checked = self.check(request, body_bytes)
         if isinstance(checked, Denied):
-            return self.response(
-                request.id, checked.status, checked.reason, checked.retry_after_s
+            return router_response(
+                self.wire,
+                request.id,
+                checked.status,
+                checked.reason,
+                checked.retry_after_s,
             )
         organisation = checked.organisation
         return HeadAccepted(
@@ -113,19 +117,20 @@
             )
         return checked
 
-    def response(
-        self,
-        request_id: str,
-        status: int,
-        reason: str,
-        retry_after_s: float | None = None,
-    ) -> HeadRefused:
-        """Return a response that the router itself gives."""
-        run = "not-run" if status in NOT_RUN_STATUSES else "may-have-run"
-        body = json.dumps({"status": status, "detail": reason, "run": run})
-        headers = self.wire.refusal_headers(request_id, retry_after_s)
-        return HeadRefused(status=status, headers=headers, body=body.encode())
-
     def _refuse_body(self, request_id: str, status: int, reason: str) -> HeadRefused:
         retry_after_s = self.retry_after_s() if status == 503 else None
-        return self.response(request_id, status, reason, retry_after_s)
+        return router_response(self.wire, request_id, status, reason, retry_after_s)
+
+
+def router_response(
+    wire: WireFormat,
+    request_id: str,
+    status: int,
+    reason: str,
+    retry_after_s: float | None = None,
+) -> HeadRefused:
+    """Return a response that the router itself gives."""
+    run = "not-run" if status in NOT_RUN_STATUSES else "may-have-run"
+    body = json.dumps({"status": status, "detail": reason, "run": run})
+    headers = wire.refusal_headers(request_id, retry_after_s)
+    return HeadRefused(status=status, headers=headers, body=body.encode())
--- a/src/endivelug/forwarding/forwarder.py
+++ b/src/endivelug/forwarding/forwarder.py
@@ -19,12 +19,11 @@
     NotRun,
     NotSent,
 )
-from endivelug.forwarding.cluster_view import MAX_LOGGED_REASON, ClusterView
-from endivelug.forwarding.crash_suspects import Block
+from endivelug.forwarding.cluster_view import ClusterView
 from endivelug.forwarding.crash_watch import CrashWatch
 from endivelug.forwarding.dispatcher import Dispatcher
+from endivelug.forwarding.error_responses import ErrorResponses
 from endivelug.forwarding.front_server import Writer
-from endivelug.forwarding.overload.control import Overloaded
 from endivelug.forwarding.placement import Placement
 from endivelug.forwarding.quotas.quota_gate import QuotaGate
 from endivelug.forwarding.refused_callers import RefusedCallers, request_digest
@@ -47,10 +46,6 @@
 # waiting for an instance when less than this is left.
 MIN_GENERATION_S = 0.4
 MIN_PLAIN_S = 0.1
-# Range of the Retry-After time: a minimum and a random addition, so that callers that
-# were refused together do not return together.
-RETRY_AFTER_MIN_S = 0.25
-RETRY_AFTER_JITTER_S = 0.35
 
 
 class Forwarder:
@@ -60,8 +55,6 @@
     ----------
     on_avoid : callable
         Called with the name of an instance to avoid and the duration in seconds.
-    on_refused : callable
-        Called with the digest of a refused request and its Retry-After in seconds.
     on_sending, on_ended : callable
         Called before and after each attempt. The outcome is None if the attempt was
         cancelled, for example because the caller disconnected.
@@ -83,12 +76,12 @@
         budget: SharedRetryBudget,
         quotas: QuotaGate,
         recorder: CallRecorder,
+        errors: ErrorResponses,
         clock: Callable[[], float],
         rng: random.Random,
         refused: RefusedCallers,
         crash_watch: CrashWatch,
         on_avoid: Callable[[str, float], None],
-        on_refused: Callable[[str, float], None],
         on_sending: Callable[[Placement], None],
         on_ended: Callable[[Call, Placement, AttemptOutcome | None], None],
     ) -> None:
@@ -100,12 +93,12 @@
         self.budget = budget
         self.quotas = quotas
         self.recorder = recorder
+        self.errors = errors
         self.clock = clock
         self.rng = rng
         self.refused = refused
         self.crash_watch = crash_watch
         self.on_avoid = on_avoid
-        self.on_refused = on_refused
         self.on_sending = on_sending
         self.on_ended = on_ended
         self.closed = False
@@ -115,7 +108,7 @@
             recorder=recorder,
             clock=clock,
             is_closed=lambda: self.closed,
-            retry_after_s=self._retry_after_s,
+            retry_after_s=errors.retry_after_s,
             serve=self._serve_request,
         )
 
@@ -128,7 +121,7 @@
                 method=method, target=target, headers=headers, now=self.clock()
             )
         except EndivelugError as error:
-            await self._send_error("", writer, 400, str(error))
+            await self.errors.send("", writer, 400, str(error))
             return
         await self._serve_request(request, None, body, writer)
 
@@ -157,7 +150,7 @@
             self.recorder.record_left(call)
             raise
         except Exception as error:
-            await self._fail_unforeseen(call, writer, error)
+            await self.errors.fail_unforeseen(call, writer, error)
         finally:
             self.quotas.end(call)
 
@@ -167,7 +160,7 @@
         """Return the call of a valid request, or send an error response."""
         checked = self.admission.check_again(request, head_check)
         if isinstance(checked, Denied):
-            await self._send_error(
+            await self.errors.send(
                 request.id,
                 writer,
                 checked.status,
@@ -189,7 +182,7 @@
         refusal = self.quotas.admit(call)
         if refusal is not None:
             self.recorder.metrics.record_over_quota(call)
-            await self._send_error(
+            await self.errors.send(
                 request.id,
                 writer,
                 429,
@@ -205,11 +198,11 @@
         while True:
             block = self.crash_watch.block_of(call)
             if block is not None:
-                await self._fail_blocked(call, writer, failure, block)
+                await self.errors.fail_blocked(call, writer, failure, block)
                 return
             placement = continuation or await self._place(call)
             if isinstance(placement, NoPlacement):
-                await self._fail_unplaced(call, writer, failure, placement)
+                await self.errors.fail_unplaced(call, writer, failure, placement)
                 return
             name = placement.instance.name
             if self.crash_watch.is_blocked(call):
@@ -242,7 +235,7 @@
                 failure = outcome
             continuation = await self._find_continuation(call, placement, outcome)
             if continuation is None and not self._try_acquire_retry(call, outcome):
-                await self._fail(call, writer, failure, reason_of(outcome))
+                await self.errors.fail(call, writer, failure, reason_of(outcome))
                 return
 
     async def _place(self, call: Call) -> Placement | NoPlacement:
@@ -310,118 +303,3 @@
         load.avoid_until = max(load.avoid_until, self.clock() + for_s)
         self.view.on_avoided(name, for_s)
         self.on_avoid(name, for_s)
-
-    async def _fail_unplaced(
-        self, call: Call, writer: Writer, failure: Failed | None, why: NoPlacement
-    ) -> None:
-        """Send the error response of a call that got no instance."""
-        self.recorder.metrics.record_unplaced(call, why.main_reason)
-        if not isinstance(why, Overloaded):
-            await self._fail(call, writer, failure, str(why), retry_at=why.retry_at)
-            return
-        self.recorder.metrics.record_refused_early(call, arrived=why.arrived)
-        after_s = max(self._retry_after_s(), why.spread_retry_after_s(self.rng))
-        self._record_refusal(call, after_s)
-        fields = why.log_fields()
-        await self._fail(
-            call, writer, None, str(why), retry_after_s=after_s, fields=fields
-        )
-
-    async def _fail_blocked(
-        self, call: Call, writer: Writer, failure: Failed | None, block: Block
-    ) -> None:
-        """Send the error response of a call whose prompt crashes engines."""
-        now = self.clock()
-        reason = (
-            f"the prompt is suspected of crashing engines: {block.suspect} was there "
-            f"at {block.moments} moments in {block.requests} requests, the last "
-            f"{now - block.last_at:.1f} s ago"
-        )
-        retry_after_s = max(block.test_at - now, 0.0) + self._retry_after_s()
-        await self._fail(call, writer, failure, reason, retry_after_s=retry_after_s)
-
-    async def _fail(
-        self,
-        call: Call,
-        writer: Writer,
-        failure: Failed | None,
-        reason: str,
-        *,
-        retry_after_s: float | None = None,
-        retry_at: float | None = None,
-        fields: dict[str, object] | None = None,
-    ) -> None:
-        """Send the error response of an undelivered call, or abort its stream.
-
-        Parameters
-        ----------
-        retry_at : float or None
-            Time before which no upstream will take the call, if that is known.
-        retry_after_s : float or None
-            Time after which a call that was not sent may succeed, if it is known.
-        fields : dict or None
-            Further fields of the log line of a call that was not sent.
-        """
-        now = self.clock()
-        if call.streaming:
-            self.recorder.record_undelivered(call, "broken", reason)
-            writer.abort()
-        elif failure is not None:
-            self.recorder.record_undelivered(call, "failed", reason)
-            headers = self.wire.caller_headers(failure.head)
-            await writer.start(
-                failure.head.status, failure.head.reason, headers, failure.body
-            )
-        elif call.runs:
-            late = now >= call.deadline - 2 * RESPONSE_MARGIN_S
-            self.recorder.record_undelivered(call, "may-have-run", reason)
-            await self._send_error(
-                call.request.id, writer, 504 if late else 502, reason
-            )
-        else:
-            if retry_after_s is None:
-                retry_after_s = self._retry_after_s(retry_at)
-                self._record_refusal(call, retry_after_s)
-            self.recorder.record_undelivered(
-                call, "not-run", reason, retry_after_s=retry_after_s, **(fields or {})
-            )
-            await self._send_error(call.request.id, writer, 503, reason, retry_after_s)
-
-    async def _fail_unforeseen(
-        self, call: Call, writer: Writer, error: Exception
-    ) -> None:
-        """End a call that met a fault of the program; it may have run."""
-        reason = f"unforeseen: {error!r}"[:MAX_LOGGED_REASON]
-        if not call.recorded_end:
-            self.recorder.record_undelivered(call, "error", reason)
-        if writer.head_sent:
-            writer.abort()
-        else:
-            await self._send_error(
-                call.request.id, writer, 502, "the router failed; look at its log"
-            )
-
-    def _record_refusal(self, call: Call, retry_after_s: float) -> None:
-        digest = request_digest(call)
-        if digest is None:
-            return
-        now = self.clock()
-        self.refused.record_refusal(digest, retry_at=now + retry_after_s, now=now)
-        self.on_refused(digest, retry_after_s)
-
-    def _retry_after_s(self, earliest: float | None = None) -> float:
-        known_s = 0.0 if earliest is None else earliest - self.clock()
-        return (
-            max(RETRY_AFTER_MIN_S, known_s) + self.rng.random() * RETRY_AFTER_JITTER_S
-        )
-
-    async def _send_error(
-        self,
-        request_id: str,
-        writer: Writer,
-        status: int,
-        reason: str,
-        retry_after_s: float | None = None,
-    ) -> None:
-        response = self.admission.response(request_id, status, reason, retry_after_s)
-        await writer.start(status, "", response.headers, response.body)
--- a/src/endivelug/forwarding/node.py
+++ b/src/endivelug/forwarding/node.py
@@ -20,10 +20,12 @@
 from endivelug.forwarding.crash_watch import CrashWatch
 from endivelug.forwarding.decision_log import DecisionLog
 from endivelug.forwarding.dispatcher import Dispatcher
+from endivelug.forwarding.error_responses import ErrorResponses
 from endivelug.forwarding.first_bytes import FirstByteRecorder
 from endivelug.forwarding.forwarder import UNREACHABLE_AVOID_S, Forwarder
 from endivelug.forwarding.instances import Instance
 from endivelug.forwarding.loop_watch import LoopWatch
+from endivelug.forwarding.node_gauges import register_gauges
 from endivelug.forwarding.node_metrics import NodeMetrics
 from endivelug.forwarding.node_settings import NodeSettings
 from endivelug.forwarding.order_lease import (
@@ -216,7 +218,7 @@
             is_ready=lambda: self.is_ready,
             guard=self.front_server.guard,
         )
-        self._add_gauges()
+        register_gauges(self)
         self.stopping = False
         self.vacant_since = self.clock()
         self.jobs = BackgroundJobs(log=log)
@@ -255,6 +257,20 @@
             on_events=self.crash_watch.record_events,
             is_blocked=self.crash_watch.is_blocked,
         )
+        recorder = CallRecorder(
+            metrics=self.metrics,
+            clock=self.clock,
+            log=self.log,
+            queue_length=self.dispatcher.queue_length,
+        )
+        errors = ErrorResponses(
+            wire=self.platform.wire,
+            recorder=recorder,
+            refused=self.refused,
+            on_refused=self._announce_refused,
+            clock=self.clock,
+            rng=self.rng,
+        )
         return Forwarder(
             wire=self.platform.wire,
             view=self.view,
@@ -263,18 +279,13 @@
             recovery=StreamRecovery(view=self.view, pool=self.pool, clock=self.clock),
             budget=self.budget,
             quotas=self.quotas,
-            recorder=CallRecorder(
-                metrics=self.metrics,
-                clock=self.clock,
-                log=self.log,
-                queue_length=self.dispatcher.queue_length,
-            ),
+            recorder=recorder,
+            errors=errors,
             clock=self.clock,
             rng=self.rng,
             refused=self.refused,
             crash_watch=self.crash_watch,
             on_avoid=self._announce_avoid,
-            on_refused=self._announce_refused,
             on_sending=self.cache_tracker.attempt_started,
             on_ended=self.cache_tracker.attempt_ended,
         )
@@ -356,24 +367,6 @@
         if not self.view.loads.of(instance.name).work:
             self.view.loads.forget(instance.name)
 
-    def _add_gauges(self) -> None:
-        gauges = self.metrics.gauges
-        gauges["store_connected"] = lambda: self.sync.connected
-        gauges["ready"] = lambda: self.is_ready
-        gauges["peers"] = lambda: self.peers.vms - 1
-        gauges["in_progress"] = lambda: len(self.front_server.tasks)
-        gauges["waiting"] = lambda: len(self.dispatcher.waiters)
-        gauges["configuration_version"] = lambda: (
-            self.view.configuration.version if self.view.configuration else 0
-        )
-        gauges["lease_held"] = lambda: self.lease.remaining_s(boot_clock()) > 0
-        gauges["log_lines_dropped"] = lambda: self.log.dropped_total
-        gauges["prompts_blocked"] = lambda: len(self.suspects.blocked(now=self.clock()))
-        gauges["connections_opened"] = lambda: self.pool.opened_total
-        gauges["loop_late_seconds_max"] = lambda: self.loop_watch.longest_s
-        gauges.update(self.placer.pace.gauges())
-        gauges["callers_left_unserved"] = lambda: self.front_server.left_total
-
     async def _shut_down(self) -> None:
         """Release the order lease, finish the requests in progress and close."""
         end_at = self.clock() + self.settings.grace_s - SHUTDOWN_MARGIN_S
