Count connections to upstreams without keeping them

Cause: the pool kept closed connections for up to a second to count the open ones, which made the garbage collector's work longer. Change: a connection reports its end, and the pool counts.

--- a/src/endivelug/forwarding/buffers/front.py
+++ b/src/endivelug/forwarding/buffers/front.py
@@ -48,19 +48,17 @@
         handler=forwarder.handle,
         check_head=forwarder.admission.check_head,
         guard=guard,
-        max_connections=lambda: bounds.max_callers(upstreams=pool.open_bound),
+        max_connections=lambda: bounds.max_callers(upstreams=pool.descriptors),
         header_timeout_s=header_timeout_s,
         max_head_bytes=max_head_bytes,
         log=view.log,
     )
 
     def may_open() -> bool:
-        callers = server.connections
-        if bounds.upstream_fits(callers=callers, upstreams=pool.open_bound):
-            return True
-        if bounds.upstream_fits(callers=callers, upstreams=pool.count_open()):
-            return True
-        return server.idle.close_oldest()
+        fits = bounds.upstream_fits(
+            callers=server.connections, upstreams=pool.descriptors
+        )
+        return fits or server.idle.close_oldest()
 
     pool.account = guard.account
     pool.may_open = may_open
--- a/src/endivelug/forwarding/connection_pool.py
+++ b/src/endivelug/forwarding/connection_pool.py
@@ -60,10 +60,8 @@
     ----------
     opened_total : int
         Connections opened so far.
-    opening : int
-        Connections that are being opened.
-    opened : set of UpstreamConnection
-        Connections that were opened and may still be open.
+    opening, open_count : int
+        Connections that are being opened, and those that are open.
     account : MemoryAccount or None
         Charged for responses that are read from upstreams.
     may_open : callable
@@ -74,7 +72,7 @@
     idle: dict[tuple[str, Use], list[_IdleEntry]] = field(default_factory=dict)
     opened_total: int = 0
     opening: int = 0
-    opened: set[UpstreamConnection] = field(default_factory=set)
+    open_count: int = 0
     account: MemoryAccount | None = None
     may_open: Callable[[], bool] = lambda: True
 
@@ -138,18 +136,17 @@
         finally:
             self.opening -= 1
         connection.account = self.account
-        self.opened.add(connection)
+        self.open_count += 1
+        connection.on_closed = self._count_closed
         return connection
 
-    @property
-    def open_bound(self) -> int:
-        """Largest number that ``count_open`` can return now."""
-        return len(self.opened) + self.opening
+    def _count_closed(self) -> None:
+        self.open_count -= 1
 
-    def count_open(self) -> int:
-        """Return the number of connections that are open or being opened."""
-        self.opened = {item for item in self.opened if not item.closed}
-        return len(self.opened) + self.opening
+    @property
+    def descriptors(self) -> int:
+        """Number of connections that are open or being opened."""
+        return self.open_count + self.opening
 
     def _take_idle(
         self, address: str, use: Use, max_idle_s: float, request: int
@@ -199,7 +196,6 @@
 
     def close_expired(self) -> None:
         """Close the connections that have been idle for too long."""
-        self.count_open()
         now = self.clock()
         for key, entries in list(self.idle.items()):
             usable = []
--- a/src/endivelug/forwarding/upstream_connection.py
+++ b/src/endivelug/forwarding/upstream_connection.py
@@ -88,6 +88,8 @@
         Hashes of the ids of the requests that it was given to carry.
     account : MemoryAccount or None
         Charged for what is read from the upstream and not yet passed on.
+    on_closed : callable or None
+        Called once the socket is closed.
     kept_bytes : int
         Bytes of the response that its reader keeps until the connection is released.
     """
