Count callers only near the bound of descriptors

Cause: each new connection to an upstream looked at every connection of a caller. Change: an upper bound that is kept anyway decides the ordinary case.

--- a/src/endivelug/forwarding/buffers/front.py
+++ b/src/endivelug/forwarding/buffers/front.py
@@ -55,10 +55,13 @@
     )
 
     def may_open() -> bool:
-        fits = bounds.upstream_fits(
-            callers=server.connections, upstreams=pool.descriptors
+        upstreams = pool.descriptors
+        # Counting the connections looks at each of them.
+        return (
+            bounds.upstream_fits(callers=server.max_open, upstreams=upstreams)
+            or bounds.upstream_fits(callers=server.connections, upstreams=upstreams)
+            or server.idle.close_oldest()
         )
-        return fits or server.idle.close_oldest()
 
     pool.account = guard.account
     pool.may_open = may_open
--- a/src/endivelug/forwarding/front_server.py
+++ b/src/endivelug/forwarding/front_server.py
@@ -250,6 +250,11 @@
             # The parameters are shared by all connections.
             self.server.conn_params.max_header_size = self.max_head_bytes()
 
+    @property
+    def max_open(self) -> int:
+        """Largest number that ``connections`` can return now."""
+        return len(self._streams)
+
     @property
     def connections(self) -> int:
         """Number of open connections."""
@@ -281,7 +286,7 @@
     def _has_room(self) -> bool:
         """Return whether a connection may be accepted; at the bound, make room."""
         limit = self.max_connections()
-        if not limit or len(self._streams) < limit or self.connections < limit:
+        if not limit or self.max_open < limit or self.connections < limit:
             return True
         return self.idle.close_oldest() or self.guard.close_slowest()
 
