Find the relays before a VM once for each list of VMs

Cause: with each report, a relay looks up to twice for the first relay of its data centre, and compared the precedence of all VMs of the data centre each time. Change: the VMs that precede this one are found when the list of VMs changes.

--- a/src/endivelug/forwarding/overlay.py
+++ b/src/endivelug/forwarding/overlay.py
@@ -80,6 +80,7 @@
     last_seen_at: dict[str, float] = field(default_factory=dict)
     _role_change_at: float | None = None
     _by_data_centre: dict[str, list[RegisteredVm]] = field(default_factory=dict)
+    _preceding: list[RegisteredVm] = field(default_factory=list)
 
     def set_registered_vms(
         self, listed: Collection[RegisteredVm], *, now: float
@@ -89,6 +90,13 @@
         self._by_data_centre = {}
         for item in sorted(self.registered.values(), key=lambda vm: vm.precedence):
             self._by_data_centre.setdefault(item.data_centre, []).append(item)
+        own = self.registered.get(self.vm)
+        # A relay asks for the VMs before it with each report that it receives.
+        self._preceding = [
+            item
+            for item in self._by_data_centre.get(self.data_centre, [])
+            if own is not None and item.precedence < own.precedence
+        ]
         self.is_relay = self._should_be_relay(now)
         self._role_change_at = None
 
@@ -152,21 +160,15 @@
 
     def _preceding_relays(self, now: float) -> list[RegisteredVm]:
         """Return the VMs that precede this one as relays of its data centre."""
-        own = self.registered.get(self.vm)
-        if own is None:
-            return []
         vms = self._by_data_centre.get(self.data_centre, [])
         live = [number for number, item in enumerate(vms) if item.name in self.relays]
         last_live = max(live, default=-1)
         return [
             item
-            for number, item in enumerate(vms)
-            if item.precedence < own.precedence
-            and (
-                item.name in self.relays
-                # VMs before a live relay that aren't relays themselves have failed.
-                or (number > last_live and self._is_reachable(item.name, now))
-            )
+            for number, item in enumerate(self._preceding)
+            if item.name in self.relays
+            # VMs before a live relay that aren't relays themselves have failed.
+            or (number > last_live and self._is_reachable(item.name, now))
         ]
 
     def _should_be_relay(self, now: float) -> bool:
