Let long prompts that have waited accept backlog where they are cached

Cause: a long prompt was sent only to an engine with less than 0.02 s to prefill. Short prompts accept up to 60 % of their target, so at 90 % load no engine gets there, and long prompts of the most urgent priority waited while short ones were served. Change: where a part of the prompt is cached, can be copied, or should be prefilled, a long prompt accepts as much backlog as it has waited, up to 30 % of its target.

--- a/src/endivelug/forwarding/engine_choice.py
+++ b/src/endivelug/forwarding/engine_choice.py
@@ -38,6 +38,11 @@
 # the engine, and several in a row pause a stream for longer than its target.
 LONG_PROMPT_TOKENS = 2500
 LONG_PROMPT_MAX_BACKLOG_S = 0.02
+# Where a part of it is cached, a long prompt accepts as much backlog as it has waited,
+# or it would starve where short ones never leave an engine without any. The limit, a
+# share of its target, is half of that for short prompts, because its own prefill takes
+# the rest. Elsewhere it would take the time of several short ones.
+LONG_PROMPT_MAX_BACKLOG_SHARE = 0.3
 # A prefill delays every running request of the engine by its duration. This share of
 # the added delay counts as cost, which keeps long and short prompts on separate
 # engines.
@@ -167,7 +172,11 @@
     """Return whether the engine's backlog is short enough for one more request."""
     backlog_s = engine.slowdown * engine.backlog_tokens / rate.tokens_per_s
     if uncached_tokens >= LONG_PROMPT_TOKENS:
-        return backlog_s <= LONG_PROMPT_MAX_BACKLOG_S
+        allowed_s = LONG_PROMPT_MAX_BACKLOG_S
+        if engine.cached_tokens or engine.fetch_tokens or engine.preferred:
+            longest_s = LONG_PROMPT_MAX_BACKLOG_SHARE * prompt.target_s
+            allowed_s = max(allowed_s, min(prompt.waited_s, longest_s))
+        return backlog_s <= allowed_s
     allowed_s = max(ALWAYS_ACCEPTED_BACKLOG_S, MAX_BACKLOG_SHARE * prompt.target_s)
     return backlog_s <= allowed_s
 
