--- a/measurements/pace.py
+++ b/measurements/pace.py
@@ -9,7 +9,8 @@
 from typing import Any
 
 from endivelug.forwarding.pace.slow_starts import SlowStarts
-from measurements._pace_model import FixedRamp, NoSlowStart, PaceModel, Upstream
+from measurements._pace_model import PaceModel
+from measurements._pace_vms import FixedRamp, NoSlowStart, Upstream
 
 POLICIES: dict[str, type[SlowStarts]] = {
     "controller": SlowStarts,
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -4,7 +4,8 @@
 import random
 
 import pytest
-from measurements._pace_model import PaceModel, Upstream
+from measurements._pace_model import PaceModel
+from measurements._pace_vms import Upstream
 
 from endivelug.forwarding.calls import Failed, NotRun
 from endivelug.forwarding.engine_candidates import Fleet
