Report use far below a limit in chunks

Cause: where a VM's equal share of a limit is less than a request, each request was reported by two entries, however far the organisation was below its limit. Change: while less than half of the limit is asked for, each VM reports chunks of its use, the first from a random part of a chunk on, so all VMs together report what was used. A chunk follows the allowance. VMs leave this mode as soon as others report more.

--- a/measurements/quota.py
+++ b/measurements/quota.py
@@ -30,6 +30,7 @@
 DURATION_S = 18.0
 RISE_S = 3.0
 LOW_DEMAND, HIGH_DEMAND = 0.25, 3.0
+FAR_BELOW_DEMAND = 0.05
 REPORT_LOSS = 0.02
 DECISIONS = 50_000
 # Requests of one unit, and requests of many tokens.
@@ -144,10 +145,30 @@
         for key in ("overshoot", "false_refusals", "entries_per_s"):
             worst_key = f"{key}_{policy}"
             worst[worst_key] = max(worst.get(worst_key, 0.0), line[key])
+    yield {"entries_per_s_far_below": _entries_far_below(seed)}
     yield {"decision_us": round(_decision_us(), 2)}
     yield worst
 
 
+def _entries_far_below(seed: int) -> float:
+    """Return the entries of 79 VMs while a twentieth of a small limit is asked for."""
+    quota = Quota(rate=20.0, burst=20.0, unit=QuotaUnit.REQUESTS)
+    tolerance, units = Tolerance(slack=20.0), 1
+    rng = random.Random(seed)
+    arrivals = poisson(
+        per_s=lambda at: FAR_BELOW_DEMAND * quota.rate,
+        peak_per_s=FAR_BELOW_DEMAND * quota.rate,
+        until=DURATION_S,
+        vm=lambda: rng.randrange(79),
+        units=lambda: units,
+        rng=rng,
+    )
+    course = _play(
+        "shared", arrivals, vms=79, quota=quota, tolerance=tolerance, rng=rng
+    )
+    return round(course.entries / DURATION_S, 2)
+
+
 def _decision_us() -> float:
     """Return the time of one decision over the limit while other VMs report."""
     quota, tolerance, _ = QUOTAS["requests"]
--- a/src/endivelug/forwarding/quotas/quota_limiter.py
+++ b/src/endivelug/forwarding/quotas/quota_limiter.py
@@ -124,6 +124,8 @@
             use.offered_units += units
         others = self._others(organisation)
         bucket.advance(others, now=now)
+        if others.offered >= state.bounds.far_below:
+            use.far_below = False
         if not bucket.covers(units, others):
             probability = bucket.admission_probability(
                 units,
@@ -149,7 +151,7 @@
         state = self._states.get(organisation)
         if state is not None:
             state.bucket.refund(units)
-            state.use.backlog -= units
+            state.use.record_admitted(-units, state.bounds)
 
     def advance(self, organisation: str, *, now: float) -> None:
         """Update the level before the use that other VMs report changes."""
@@ -200,10 +202,12 @@
 
     def _add(self, organisation: str, quota: Quota, *, now: float) -> _State:
         bucket = Bucket.full(quota, self.tolerance, now=now, share=self._share)
+        bounds = self._bounds(quota)
+        unchunked = self.rng.random() * bounds.chunk
         state = _State(
             bucket=bucket,
-            use=OwnUse(reported_at=now),
-            bounds=self._bounds(quota),
+            use=OwnUse(reported_at=now, unchunked=unchunked),
+            bounds=bounds,
             demand_at=now,
         )
         self._states[organisation] = state
@@ -216,12 +220,12 @@
     def _record(
         self, organisation: str, state: _State, units: int, *, now: float
     ) -> None:
-        state.use.backlog += units
+        state.use.record_admitted(units, state.bounds)
         if self.vms > 1 and state.use.early_report(state.bounds, now=now):
             self.shared.set_own(organisation, state.use.reported)
 
     def _bounds(self, quota: Quota) -> ReportBounds:
-        return ReportBounds.of(rate=quota.rate, vms=self.vms, over=self.tolerance.over)
+        return ReportBounds.of(quota=quota, tolerance=self.tolerance, vms=self.vms)
 
     def _others(self, organisation: str) -> OthersUse:
         values = self.shared.others(organisation)
