--- a/src/endivelug/forwarding/quotas/quota_limiter.py
+++ b/src/endivelug/forwarding/quotas/quota_limiter.py
@@ -124,8 +124,7 @@
             use.offered_units += units
         others = self._others(organisation)
         bucket.advance(others, now=now)
-        if others.offered >= state.bounds.far_below:
-            use.far_below = False
+        use.check_rise(state.bounds, others_offered=others.offered)
         if not bucket.covers(units, others):
             probability = bucket.admission_probability(
                 units,
--- a/src/endivelug/forwarding/quotas/usage.py
+++ b/src/endivelug/forwarding/quotas/usage.py
@@ -29,6 +29,8 @@
 CHUNK_SHARE_OF_ALLOWANCE = 0.02
 MIN_CHUNK_SHARE = 0.005
 MAX_CHUNK_SHARE = 0.05
+# Chunks within a block from which a VM takes its own demand for a rise.
+RISE_CHUNKS = 4
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -113,6 +115,16 @@
         """Units per second of the last blocks, or of the current one if it has more."""
         return max(self.offered_per_s, self.offered_units / BLOCK_S)
 
+    def check_rise(self, bounds: ReportBounds, *, others_offered: float) -> None:
+        """Report all use from now on if the demand is no longer far below the limit."""
+        if not self.far_below:
+            return
+        offered = others_offered
+        if self.offered_units >= RISE_CHUNKS * bounds.chunk:
+            offered += self.offered_units / BLOCK_S
+        if offered >= bounds.far_below:
+            self.far_below = False
+
     def record_admitted(self, units: float, bounds: ReportBounds) -> None:
         """Record units that were admitted, or given back if they are below 0."""
         if not self.far_below:
