Log a peer's message that cannot be handled, and open the link anew

Cause: an exception in a handler went through the protocol of the link, which ended with a traceback on standard error and without a log line. Change: the handlers of the links between routers are guarded; the line names peer, type and reason. Checked: tests/test_peers.py (fails without the guard: no line), test_docs.

--- a/src/endivelug/forwarding/peers.py
+++ b/src/endivelug/forwarding/peers.py
@@ -11,6 +11,7 @@
 from endivelug.forwarding.link_targets import LinkTargets
 from endivelug.forwarding.neighbour import NO_MEMBER, Neighbour
 from endivelug.forwarding.overlay import Overlay, RegisteredVm
+from endivelug.forwarding.peer_guard import guard_handlers
 from endivelug.forwarding.peer_messages import (
     CrashNews,
     FullReportRequest,
@@ -121,12 +122,13 @@
         self.rows = PeerRows(
             view=view, follows_store=self.follows_store, clock=clock, log=log
         )
-        self.sync_handlers: SyncHandlers = {
+        handlers: SyncHandlers = {
             RouterReport: self._apply_report,
             FullReportRequest: self._answer_full_report,
             CrashNews: self.crashes.receive,
             RowsRequest: lambda link, request: self.rows.answer(request),
         }
+        self.sync_handlers = guard_handlers(handlers, log=log)
         self.targets = LinkTargets(
             identity=identity,
             handler=self._reject_message,
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -167,3 +167,23 @@
         await wait_until(lambda: two.view.weights_of(engine, "m") == 2, timeout_s=0.5)
 
     run_scenario(scenario)
+
+
+# Guards against a message that ends its link with a traceback and without a log line,
+# and against a link that stays closed afterwards.
+def test_a_message_that_cannot_be_handled_is_logged_and_the_link_opens_anew():
+    async def scenario(one, two):
+        await wait_until(lambda: one.neighbours and two.neighbours)
+        apply = one.report_applier.apply
+
+        def fail(*arguments, **options):
+            one.report_applier.apply = apply
+            raise ZeroDivisionError
+
+        one.report_applier.apply = fail
+        await wait_until(lambda: "peer-message-failed" in dict(one.log.lines))
+        fields = dict(one.log.lines)["peer-message-failed"]
+        assert (fields["peer"], fields["message"]) == ("vm2", "RouterReport")
+        await wait_until(lambda: one.neighbours and one.neighbours["vm2"].reported)
+
+    run_scenario(scenario)
