Close stopped bodies before responses that are not read

Cause: the request of a response has run, and a body that stops has not. Change: responses are closed only if no incomplete body is stalled, and never for the sake of another party's share.

--- a/src/endivelug/forwarding/buffers/memory_account.py
+++ b/src/endivelug/forwarding/buffers/memory_account.py
@@ -84,6 +84,11 @@
         size = self.held_bytes if self.expected_bytes is None else self.expected_bytes
         return size <= SMALL_BODY_BYTES
 
+    @property
+    def is_response(self) -> bool:
+        """Whether the holder keeps a response, and not the body of a request."""
+        return self.kind is HolderKind.RESPONSE
+
     @property
     def waits_for_client(self) -> bool:
         """Whether only the client can make progress."""
@@ -226,7 +231,10 @@
             if BODY_PROGRESS.lag_s(holder, now=now) >= STALL_S
         ]
         if stalled:
-            return min(stalled, key=lambda holder: holder.deadline)
+            # The request of a response has run already; closing it loses more.
+            return min(
+                stalled, key=lambda holder: (holder.is_response, holder.deadline)
+            )
         if waiting is None:
             return None
         return self._over_share(waiting, candidates, _address) or self._over_share(
@@ -261,7 +269,11 @@
         if largest == own or held[largest] <= share or held.get(own, 0) >= share:
             return None
         return min(
-            (holder for holder in candidates if party_of(holder) == largest),
+            (
+                holder
+                for holder in candidates
+                if party_of(holder) == largest and not holder.is_response
+            ),
             key=lambda holder: holder.deadline,
             default=None,
         )
--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -17,7 +17,8 @@
 
 
 def make_body(account, *, held=0, started_at=0.0, **fields):
-    holder = Holder(kind=HolderKind.BODY, **{"expected_bytes": BODY_BYTES, **fields})
+    values = {"kind": HolderKind.BODY, "expected_bytes": BODY_BYTES, **fields}
+    holder = Holder(**values)
     BODY_PROGRESS.start(holder, now=started_at)
     account.charge(holder, held)
     return holder
@@ -89,6 +90,16 @@
     assert account.victim(waiting, now=9.5 + STALL_S) is recent
 
 
+# Guards against cutting off a response, whose request has run, before a stopped body.
+def test_bodies_are_closed_before_responses():
+    account = MemoryAccount(total_bytes=BODY_BYTES)
+    response = make_body(account, held=100, kind=HolderKind.RESPONSE)
+    body = make_body(account, held=100, started_at=5.0)
+    assert account.victim(None, now=10.0) is body
+    account.release(body)
+    assert account.victim(None, now=10.0) is response
+
+
 # Guards against one address or organisation that keeps the account while others wait,
 # and against closing a party for the sake of one that holds as much.
 @pytest.mark.parametrize("field", ["address", "organisation"])
