--- a/src/endivelug/forwarding/attempt_limits.py
+++ b/src/endivelug/forwarding/attempt_limits.py
@@ -22,6 +22,10 @@
 # Time before the caller's deadline at which attempts end, so that the response of the
 # router still reaches the caller.
 RESPONSE_MARGIN_S = 0.03
+# Shortest time that a generation or a plain call needs once it is sent; a call stops
+# waiting for an instance when less than this is left.
+MIN_GENERATION_S = 0.4
+MIN_PLAIN_S = 0.1
 # Longest time for a connection attempt, also as a share of the time until the deadline.
 CONNECT_TIMEOUT_S = 0.35
 CONNECT_SHARE = 0.3
--- /dev/null
+++ b/src/endivelug/forwarding/config_check/__init__.py
@@ -0,0 +1,1 @@
+"""Validation of a routing configuration before it is sent."""
--- a/src/endivelug/forwarding/forwarder.py
+++ b/src/endivelug/forwarding/forwarder.py
@@ -6,7 +6,11 @@
 
 from endivelug.exceptions import CallerLeft, EndivelugError
 from endivelug.forwarding.attempt import AttemptRunner
-from endivelug.forwarding.attempt_limits import RESPONSE_MARGIN_S
+from endivelug.forwarding.attempt_limits import (
+    MIN_GENERATION_S,
+    MIN_PLAIN_S,
+    RESPONSE_MARGIN_S,
+)
 from endivelug.forwarding.buffers.admission import Admission
 from endivelug.forwarding.buffers.head_check import Denied, Permitted
 from endivelug.forwarding.call_recorder import CallRecorder, reason_of
@@ -43,10 +47,6 @@
 # Consecutive failures after which an instance is avoided for a while.
 FAILURES_TO_AVOID = 3
 FAILED_AVOID_S = 0.8
-# Shortest time that a generation or a plain call needs once it is sent; a call stops
-# waiting for an instance when less than this is left.
-MIN_GENERATION_S = 0.4
-MIN_PLAIN_S = 0.1
 # Range of the Retry-After time: a minimum and a random addition, so that callers that
 # were refused together do not return together.
 RETRY_AFTER_MIN_S = 0.25
