Admit large requests above a quota only at higher levels

Cause: the chance did not depend on the size, so prompts of 17,000 to 90,000 tokens were admitted as often as short ones and put the bucket into debt; an exact bucket refuses them and serves the others. Change: the units, up to the capacity, are subtracted from the level in the probabilistic branch.

--- a/src/endivelug/forwarding/quotas/bucket.py
+++ b/src/endivelug/forwarding/quotas/bucket.py
@@ -157,9 +157,11 @@
     ) -> float:
         """Return the probability with which to admit a request that is not covered.
 
-        All VMs admit the same share of what they are offered. It does not depend on the
-        size of a request, so that those larger than the burst are not starved; one that
-        exceeds the limit of a whole window is never admitted.
+        All VMs admit the same share of what they are offered. A large request needs a
+        higher level, as in an exact bucket; otherwise one of them would put the bucket
+        into debt for seconds, in which small requests within the quota are refused. A
+        full bucket admits the rate also where all requests are larger than the burst.
+        One that exceeds the limit of a whole window is never admitted.
 
         Parameters
         ----------
@@ -170,7 +172,8 @@
         """
         if units > self.largest:
             return 0.0
-        usable = self.rate + self.level / LEVEL_TIME_S
+        spare = self.level - min(units, self.capacity)
+        usable = self.rate + spare / LEVEL_TIME_S
         offered = own_offered + others.offered
         weight = RETURNING_WEIGHT if returning else 1.0
         if offered <= 0:
