--- a/tests/test_claims_stateful.py
+++ b/tests/test_claims_stateful.py
@@ -7,6 +7,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from measurements._virtual_loop import VirtualLoop
 
 from endivelug import table as table_module
 from endivelug.claim_writer import ClaimWriter
@@ -21,7 +22,6 @@
 from endivelug.service_calls import ServiceCalls
 from endivelug.service_client import ServiceRequest, ServiceResponse
 from endivelug.standin_platform import MemoryTable
-from virtual_loop import VirtualLoop
 
 DAY_S = 86400.0
 FAULTS = ["ok", "outage", "lost answer", "late", "slow"]
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -7,9 +7,9 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from measurements._service_model import (
+from measurements._service_model import ServiceModel
+from measurements._service_parts import (
     Kind,
-    ServiceModel,
     share_refused_late,
     share_served,
     without_admission,
--- a/tests/test_weights_orders.py
+++ b/tests/test_weights_orders.py
@@ -3,6 +3,7 @@
 import random
 
 import pytest
+from measurements._virtual_loop import VirtualLoop
 
 from endivelug.exceptions import UpstreamUnreachable
 from endivelug.forwarding.connection_pool import ConnectionPool
@@ -11,7 +12,6 @@
 from forwarding_builders import make_instance
 from order_simulation import TURN_GAP_S, SimulatedEngine, make_vms
 from platform_standins import running_upstream
-from virtual_loop import VirtualLoop
 
 
 def run_simulation(scenario):
