Mend what a review of the change found

Review of waiting calls: the queue moved calls that became late while a review went through it, so calls were passed over or refused twice, which ended the dispatcher's round with InvalidStateError. The review uses one time; the new test in tests/test_waiting.py saw 54 calls of 40 before. Loads: a call that was placed in the turn in which its time ran out, and a continuation whose prompt is blocked, stayed in the load of their instance for good. Both are sent or removed now. Slow start: an attempt without a descriptor of this VM counted against the upstream, and the evidence of a late report or a frozen VM was applied every 0.25 s; it counts once. Retry-After of upstreams: a pause that ended between two readings of the clock raised ValueError. Connections: waiting for a descriptor and connecting together stay within the connect time. Settings: a list of parts that is no list is an error; early refusals and slow start are on where it has "pressure", so that the earlier deployments are served as before.

--- a/src/endivelug/forwarding/connection_pool.py
+++ b/src/endivelug/forwarding/connection_pool.py
@@ -106,13 +106,14 @@
         connection = self._take_idle(address, use, max_idle_s, hash(request_id))
         if connection is None:
             if use is Use.CALLS:
-                await self._wait_for_descriptor(address, timeout_s)
+                timeout_s = await self._wait_for_descriptor(address, timeout_s)
             connection = await self.open(address, timeout_s=timeout_s)
             connection.use = use
         connection.carried.add(hash(request_id))
         return connection
 
-    async def _wait_for_descriptor(self, address: str, timeout_s: float) -> None:
+    async def _wait_for_descriptor(self, address: str, timeout_s: float) -> float:
+        """Wait until a connection may be opened; return the rest of the time limit."""
         ends_at = self.clock() + timeout_s
         while not self.may_open():
             if self.clock() >= ends_at:
@@ -120,6 +121,7 @@
                     f"no descriptor is left for {address}; look at the callers"
                 )
             await asyncio.sleep(DESCRIPTOR_CHECK_INTERVAL_S)
+        return max(0.0, ends_at - self.clock())
 
     async def open(self, address: str, *, timeout_s: float) -> UpstreamConnection:
         """Return a new connection.
--- a/src/endivelug/forwarding/dispatcher.py
+++ b/src/endivelug/forwarding/dispatcher.py
@@ -151,17 +151,19 @@
             async with asyncio.timeout(max(0.0, expires_at - self.clock())):
                 return await future
         except TimeoutError:
+            result = _result_of(future)
+            if isinstance(result, Placement):
+                # Placed in the same turn of the loop in which the time ran out.
+                return result
             placement = self.placer.place(call)
             if isinstance(placement, Placement):
                 return NoPlacement(reasons=Counter({WaitReason.QUEUED: 1}))
             return placement
         except asyncio.CancelledError:
-            if future.done() and not future.cancelled() and not future.exception():
-                # The placement was set in the same turn of the loop in which the caller
-                # disconnected.
-                result = future.result()
-                if isinstance(result, Placement):
-                    self._remove_work(call, result)
+            result = _result_of(future)
+            if isinstance(result, Placement):
+                # Placed in the same turn of the loop in which the caller disconnected.
+                self.remove_work(call, result)
             raise
         finally:
             self._end_waiting(item)
@@ -229,8 +231,20 @@
             ),
         )
 
-    def _remove_work(self, call: Call, placement: Placement) -> None:
-        self.placer.view.loads.remove_work(placement.instance.name, call.key)
+    def remove_work(self, call: Call, placement: Placement) -> None:
+        """Remove a call from the work of its instance; it has ended or never began."""
+        name = placement.instance.name
+        self.placer.view.loads.remove_work(name, call.key)
+        self.placer.pace.slow_starts.record_ended(name)
+
+
+def _result_of(
+    future: asyncio.Future[Placement | NoPlacement],
+) -> Placement | NoPlacement | None:
+    """Return the result of a future; None if it has none."""
+    if not future.done() or future.cancelled() or future.exception() is not None:
+        return None
+    return future.result()
 
 
 def _is_known_late(call: Call, refused: NoPlacement, expires_at: float) -> bool:
--- a/src/endivelug/forwarding/forwarder.py
+++ b/src/endivelug/forwarding/forwarder.py
@@ -198,6 +198,8 @@
         while True:
             block = self.crash_watch.block_of(call)
             if block is not None:
+                if continuation is not None:
+                    self.dispatcher.remove_work(call, continuation)
                 await self.errors.fail_blocked(call, writer, failure, block)
                 return
             placement = continuation or await self._place(call)
@@ -207,7 +209,7 @@
             name = placement.instance.name
             if self.crash_watch.is_blocked(call):
                 # Blocked while it waited; the next round refuses it.
-                self.view.loads.remove_work(name, call.key)
+                self.dispatcher.remove_work(call, placement)
                 self.dispatcher.schedule_assignment()
                 continuation = None
                 continue
@@ -221,8 +223,7 @@
                 outcome = await self.runner.run(call, placement, writer)
                 call.instance = None
             finally:
-                self.view.loads.remove_work(name, call.key)
-                self.dispatcher.placer.pace.slow_starts.record_ended(name)
+                self.dispatcher.remove_work(call, placement)
                 self.on_ended(call, placement, outcome)
                 self.dispatcher.schedule_assignment()
             await self.crash_watch.record_outcome(call, placement, outcome)
--- a/src/endivelug/forwarding/node_settings.py
+++ b/src/endivelug/forwarding/node_settings.py
@@ -2,7 +2,9 @@
 
 from dataclasses import dataclass
 
-# What a deployment tolerates beyond quotas if its settings do not state it.
+# What a deployment tolerates beyond quotas if its settings do not state it. The slack
+# is in units of the quota, requests or tokens; small quotas of requests have no effect
+# beside it.
 DEFAULT_QUOTA_WINDOW_S = 8.0
 DEFAULT_QUOTA_OVER = 0.1
 DEFAULT_QUOTA_SLACK = 190_000.0
--- a/src/endivelug/forwarding/overload/control.py
+++ b/src/endivelug/forwarding/overload/control.py
@@ -145,7 +145,7 @@
         state.meter.begin_waiting(item.priority, now=now)
         flow = state.meter.flow(item.priority, now=now)
         ahead = self.queue.ahead_of(item.request, now=now)
-        estimate = self._late_estimate(call, item, state, ahead, flow)
+        estimate = self._late_estimate(call, item, state, ahead, flow, now=now)
         if estimate is None or self._have_upstreams_changed(call.service, state):
             return None
         return self._refuse(call, state, estimate, arrived=True)
@@ -181,7 +181,7 @@
             if flow is None:
                 flow = flows[item.priority] = state.meter.flow(item.priority, now=now)
             ahead = QueueAhead(requests=requests, tokens=tokens)
-            estimate = self._late_estimate(call, item, state, ahead, flow)
+            estimate = self._late_estimate(call, item, state, ahead, flow, now=now)
             refusal = (
                 self._refuse(call, state, estimate, arrived=False)
                 if estimate is not None
@@ -201,15 +201,23 @@
         state: _ServiceState,
         ahead: QueueAhead,
         flow: Flow,
+        *,
+        now: float,
     ) -> Estimate | None:
-        """Return when a call would be sent if that is clearly too late, or None."""
+        """Return when a call would be sent if that is clearly too late, or None.
+
+        Parameters
+        ----------
+        now : float
+            Time at which the queue was ordered; at a later one, calls that have become
+            late would move while a review goes through the queue.
+        """
         if not self.enabled or call.runs or call.streaming:
             # The caller could not be told that it did not run.
             return None
         needed_s = (
             item.expected_s if call.route.generates else state.answer_time.short_s
         )
-        now = self.clock()
         limit = min(call.deadline, call.caller_abandons_at)
         waiting = WaitingCall(
             ahead=ahead,
--- a/src/endivelug/forwarding/pace/slow_starts.py
+++ b/src/endivelug/forwarding/pace/slow_starts.py
@@ -1,4 +1,4 @@
-"""Feeds the pace controller from registrations, outcomes and other VMs' evidence."""
+"""Passes registrations, outcomes and the evidence of other VMs to the controller."""
 
 import random
 from collections.abc import Callable
@@ -57,7 +57,8 @@
     Parameters
     ----------
     traffic : Traffic
-        A service without traffic needs no slow start: nobody floods its upstreams.
+        A service without traffic needs no slow start: no burst of requests can reach
+        its upstreams.
 
     Attributes
     ----------
@@ -89,6 +90,7 @@
         self.created_at = clock()
         self._own: dict[str, Evidence] = {}
         self._keys: dict[str, str] = {}
+        self._applied: dict[str, tuple[int, ...]] = {}
         view.on_registered = self._registered
         view.on_avoided = self._avoided
         view.on_new_weights = self._changed_weights
@@ -162,6 +164,9 @@
         if start is None:
             return
         match outcome:
+            case NotSent(local=True):
+                # This VM had no descriptor left.
+                return
             case NotRun() | NotSent() | Lost():
                 pass
             case Failed(head=head) if head.status >= 500:
@@ -198,6 +203,10 @@
         self, name: str, start: SlowStart, evidence: SharedAmounts, now: float
     ) -> None:
         others = evidence.others(self._keys[name])
+        # A value that stands because a report is late or its VM is frozen counts once.
+        if others == self._applied.get(name):
+            return
+        self._applied[name] = others
         good, late, failed, *_ = (max(0, value) for value in (*others, 0, 0, 0))
         start.record_answers(good=good, late=late, now=now)
         if failed and start.record_failure(now=now):
--- a/src/endivelug/forwarding/placement.py
+++ b/src/endivelug/forwarding/placement.py
@@ -169,13 +169,15 @@
         blocking = {reason for reason, count in result.reasons.items() if count}
         if blocking - LASTING_REASONS != {WaitReason.RETRY_LATER}:
             return None
-        loads = self.view.loads
-        return min(
+        loads, now = self.view.loads, self.clock()
+        pauses = (
             loads.of(instance.name).paused_until
             for instance in self.view.registry.of_service(call.service)
             if instance.name not in call.excluded_instances
-            and loads.of(instance.name).paused_until > self.clock()
+            and loads.of(instance.name).paused_until > now
         )
+        # The last pause may have ended since the reasons were found.
+        return min(pauses, default=None)
 
     def _available_instances(
         self, call: Call, service: Service, blocked: Counter[WaitReason]
--- a/src/endivelug/platform/settings.py
+++ b/src/endivelug/platform/settings.py
@@ -57,6 +57,8 @@
     def lists(self, key: str, name: str) -> bool:
         """Return whether an optional list has a name."""
         value = self._value("", key)
+        if value is not None and not isinstance(value, list):
+            self._add_error("", key, value, "write a list of names")
         return isinstance(value, list) and name in value
 
     def first_port(self) -> int:
@@ -125,8 +127,8 @@
         ),
         quota_over=reader.number_or("bounds", "quotaOver", DEFAULT_QUOTA_OVER),
         quota_slack=reader.number_or("bounds", "quotaSlack", DEFAULT_QUOTA_SLACK),
-        # The platform judges the health of upstreams where it lists this part.
-        protects_upstreams=reader.lists("contracts", "health"),
+        # The platform lists this part where load presses beyond what upstreams carry.
+        protects_upstreams=reader.lists("contracts", "pressure"),
         memory_mb=reader.optional_number("limits", "memoryMb"),
         max_fds=int(reader.optional_number("limits", "maxFds")),
     )
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -71,9 +71,10 @@
 # Guards against early refusals and slow starts that the deployment does not ask for.
 def test_upstreams_are_protected_where_the_settings_list_it(tmp_path):
     assert not load(tmp_path, DOCUMENT).protects_upstreams
-    document = {**DOCUMENT, "contracts": ["base", "health"]}
+    document = {**DOCUMENT, "contracts": ["base", "pressure"]}
     assert load(tmp_path, document).protects_upstreams
-    assert not load(tmp_path, {**DOCUMENT, "contracts": 7}).protects_upstreams
+    with pytest.raises(SettingsError):
+        load(tmp_path, {**DOCUMENT, "contracts": 7})
 
 
 # Guards against reporting only the first error, so that the operator has to correct the
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -222,3 +222,33 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     asyncio.run(scenario())
+
+
+# Guards against a review that passes over calls, or refuses one twice, because calls
+# become late while it goes through the queue.
+def test_a_review_uses_one_time_for_all_calls():
+    placer = make_placer([64])
+    clock = placer.clock
+    dispatcher = Dispatcher(placer=placer, clock=clock)
+    items = [
+        QueuedRequest(
+            request=str(number),
+            service="engines",
+            priority=0,
+            returning=False,
+            target_at=clock() + 0.01 * (number + 1),
+            expires_at=clock() + 5.0,
+        )
+        for number in range(40)
+    ]
+    for item in items:
+        dispatcher.queue.add(item)
+    seen = []
+
+    def call_of(request):
+        seen.append(request)
+        clock.now += 0.005
+        return make_call(request=make_request())
+
+    dispatcher.admission.review("engines", call_of)
+    assert seen == [item.request for item in items]
