Let long prompts accept backlog only where the settings ask for it

Ruled out: early refusals and slow start, which are off there. Change: NodeSettings.protects_upstreams switches the rule too; the earlier deployments choose engines as before. Checked: tests of the engine choice (with the rule off), the forwarding path, overload, docs.

--- a/src/endivelug/forwarding/engine_choice.py
+++ b/src/endivelug/forwarding/engine_choice.py
@@ -108,6 +108,8 @@
         Leading tokens that other prompts share and that no cache is known to have.
     waited_s : float
         Time since the request arrived.
+    accepts_backlog : bool
+        Whether a long prompt that has waited accepts backlog where it is cached.
     """
 
     prompt_tokens: int
@@ -115,6 +117,7 @@
     target_s: float
     shared_tokens: int = 0
     waited_s: float = 0.0
+    accepts_backlog: bool = True
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -190,7 +193,8 @@
     backlog_s = engine.slowdown * engine.backlog_tokens / rate.tokens_per_s
     if uncached_tokens >= LONG_PROMPT_TOKENS:
         allowed_s = LONG_PROMPT_MAX_BACKLOG_S
-        if engine.cached_tokens or engine.fetch_tokens or engine.preferred:
+        is_cached = engine.cached_tokens or engine.fetch_tokens or engine.preferred
+        if prompt.accepts_backlog and is_cached:
             longest_s = LONG_PROMPT_MAX_BACKLOG_SHARE * prompt.target_s
             allowed_s = max(allowed_s, min(prompt.waited_s, longest_s))
         return backlog_s <= allowed_s
--- a/src/endivelug/forwarding/node.py
+++ b/src/endivelug/forwarding/node.py
@@ -114,6 +114,7 @@
             service, now=self.clock()
         )
         self.dispatcher = Dispatcher(placer=self.placer, clock=self.clock)
+        self.placer.long_prompts_accept_backlog = settings.protects_upstreams
         self.placer.pace.slow_starts.enabled = settings.protects_upstreams
         self.dispatcher.admission.enabled = settings.protects_upstreams
         self.view.on_change = self.dispatcher.schedule_assignment
--- a/src/endivelug/forwarding/node_settings.py
+++ b/src/endivelug/forwarding/node_settings.py
@@ -41,8 +41,9 @@
         Length of the windows in which quotas hold, and what may run beyond a quota in
         each: a part of it, and a number of its units.
     protects_upstreams : bool
-        Whether waiting requests that clearly come too late are refused early, and
-        upstreams that start or recover get few requests at first.
+        Whether waiting requests that clearly come too late are refused early, long
+        prompts that have waited accept backlog, and upstreams that start or recover get
+        few requests at first.
     memory_mb : float
         Memory of the VM in MiB; 0 if it is not stated.
     max_fds : int
--- a/src/endivelug/forwarding/placement.py
+++ b/src/endivelug/forwarding/placement.py
@@ -98,6 +98,8 @@
     ----------
     fleet : Fleet
         Size and traffic of all VMs; the owner keeps it up to date.
+    long_prompts_accept_backlog : bool
+        Whether long prompts that have waited accept backlog where they are cached.
     pace : UpstreamPace
         What the upstreams stated, and how they respond.
     """
@@ -116,6 +118,7 @@
         self.clock = clock
         self.rates: dict[str, PrefillRate] = {}
         self.fleet = Fleet()
+        self.long_prompts_accept_backlog = True
         self.pace = UpstreamPace(view=view, fleet=self.fleet, clock=clock, rng=rng)
         self.lookup = CacheLookup(view=view, clock=clock)
         self.engines = EngineCandidates(
@@ -311,6 +314,7 @@
             target_s=call.route.target_s,
             shared_tokens=_uncached_everywhere(request.prompt, states),
             waited_s=max(0.0, self.clock() - request.received_at),
+            accepts_backlog=self.long_prompts_accept_backlog,
         )
         choice = choose_engine(states, prompt, rate=self.prefill_rate(call.service))
         if isinstance(choice, NoPlacement):
--- a/tests/test_engine_choice.py
+++ b/tests/test_engine_choice.py
@@ -48,6 +48,8 @@
         assert choose([caching], waited_s=waited_s).main_reason is WaitReason.BACKLOG
     assert choose([caching, other], waited_s=0.25).engine == "caching"
     assert choose([other], waited_s=5.0).main_reason is WaitReason.BACKLOG
+    refused = choose([caching], waited_s=5.0, accepts_backlog=False)
+    assert refused.main_reason is WaitReason.BACKLOG
 
 
 # Guards against prefilling tokens that can be copied from another engine.
