Pass on no refusal status of an upstream that ran the request

Callers saw: requests that may run only once were answered 503, 429 or 408 although an upstream had run them. These statuses promise "not run", so the callers sent them again. Cause: an answer without a statement that the request did not run ended the attempt as failed, and a failure was passed on with its status, whatever the status promises. Ruled out: answers with the statement (tests/test_forwarding_path.py), 421, and requests that may run again: their callers repeat them after any failure, so the status, body and signature stay unchanged there. Change: such a failure of a request that may run only once is answered with the router's own 502 without the signature, as for an answer that was lost.

--- a/src/endivelug/forwarding/error_responses.py
+++ b/src/endivelug/forwarding/error_responses.py
@@ -10,6 +10,7 @@
 from endivelug.forwarding.cluster_view import MAX_LOGGED_REASON
 from endivelug.forwarding.crash_suspects import Block
 from endivelug.forwarding.front_server import Writer
+from endivelug.forwarding.not_run_statuses import promises_wrongly
 from endivelug.forwarding.overload.control import Overloaded
 from endivelug.forwarding.refused_callers import RefusedCallers, request_digest
 from endivelug.forwarding.requests import WireFormat
@@ -102,7 +103,7 @@
         if call.streaming:
             self.recorder.record_undelivered(call, "broken", reason)
             writer.abort()
-        elif failure is not None:
+        elif failure is not None and not promises_wrongly(call, failure):
             self.recorder.record_undelivered(call, "failed", reason)
             headers = self.wire.caller_headers(failure.head)
             await writer.start(
