Discard what is unsent of a request that is given up

Upstreams saw: a request arrived after the router had given it up, once a stopped upstream read again or a cut link was whole again; its caller had an answer or had left by then. Cause: closing a connection leaves what is in the kernel's send buffer to be sent, for as long as the upstream does not read, and until TCP_USER_TIMEOUT without an acknowledgement. Ruled out: bytes that are still in the process; abort() drops these already. Change: a connection that is aborted with a request in progress and unacknowledged bytes is reset (SO_LINGER of 0 s), which discards them. With nothing left to send it is closed as before, since upstreams may take a reset otherwise than an end. What the upstream's kernel has taken already can't be called back; such a request still counts as one that may run.

--- a/src/endivelug/forwarding/upstream_connection.py
+++ b/src/endivelug/forwarding/upstream_connection.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import socket
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -31,6 +30,7 @@
     ResponseParser,
     new_parser,
 )
+from endivelug.forwarding.socket_options import discard_unsent, set_options
 
 # Reading from the socket pauses when more received body bytes than this are unread:
 # hundreds of events of a stream, while its caller pauses.
@@ -43,8 +43,6 @@
 # processor to other requests while an upstream sends tiny parts without end.
 PART_PAUSE_S = 0.0001
 _LOST = "the connection was lost before the answer was complete"
-# The kernel closes a connection whose peer acknowledges nothing for this long.
-USER_TIMEOUT_MS = 4000
 
 __all__ = [
     "BodyData",
@@ -120,16 +118,7 @@
         """Set the options of the new socket."""
         # uvloop's transports have the methods of the base class but do not inherit it.
         self._transport = cast(asyncio.Transport, transport)
-        sock = transport.get_extra_info("socket")
-        if sock is not None:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            try:
-                sock.setsockopt(
-                    socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
-                )
-            except OSError:
-                # Not available on every platform; the timeouts of requests still apply.
-                pass
+        set_options(self._transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Complete or fail the response in progress."""
@@ -275,9 +264,9 @@
         )
 
     def abort(self) -> None:
-        """Close at once without flushing, so that the upstream notices immediately.
+        """Close at once, so that the upstream notices immediately.
 
-        Nobody reads the response any more.
+        Nobody reads the response any more. What is unsent of a request is not sent.
         """
         self._close()
         if self.account is not None:
@@ -286,6 +275,8 @@
 
     def _close(self) -> None:
         self.closed = True
+        if self._parser is not None:
+            discard_unsent(self._transport)
         self._transport.abort()
 
     def _update_charge(self) -> None:
@@ -353,13 +344,13 @@
         self._wake_reader()
 
     def _fail(self, reason: str) -> None:
+        if not self.closed:
+            self._close()
         self._parser = None
         if self._next_step is not None:
             self._next_step.cancel()
             self._next_step = None
         self._failure = UpstreamBroken(f"{reason}; use another connection")
-        if not self.closed:
-            self._close()
         # What had come before may still be read.
         self._update_charge()
         self._wake_reader()
