Take no failed connection attempt for the end of a run

Upstreams saw: a stream that may run only once went on from its backup at another engine while its first engine was still running it. Cause: one connection attempt without success counted as proof that the engine had ended. A single lost packet does that, since it is sent again after 1 s and the limit was 0.25 s; so does a full queue of connections, and an engine that stops, which refuses connections first and finishes its runs. Evidence: tests/test_runs_at_two_engines.py on the code before, on real sockets: with one lost first packet the stream is complete ("assert not True", it ran at two engines), and with a quiet engine that refuses connections there are two attempts ("assert 2 == 1"). Ruled out: engines that accept connections; the test of these has passed before. Change: a stream that may run only once leaves a silent engine, or goes on after its connection was lost, without a refusal only if two more attempts with a limit of 0.7 s get no answer either. Packets may queue for half a second on a busy link. An engine that has crashed refuses connections at once, and its streams go on as fast as before. Streams that may be resumed still leave after one attempt: they may run again.

--- a/src/endivelug/forwarding/attempt.py
+++ b/src/endivelug/forwarding/attempt.py
@@ -271,10 +271,11 @@
 
     def _can_leave_unreachable(self, call: Call, placement: Placement) -> bool:
         """Return whether a stream can go on elsewhere, as its engine is unreachable."""
-        if not self.view.loads.of(placement.instance.name).unreachable:
-            return False
+        load = self.view.loads.of(placement.instance.name)
+        if call.may_run_again:
+            return load.unreachable
         has_backup = placement.backup is not None and not call.continued
-        return call.may_run_again or (has_backup and call.streaming)
+        return load.cut_off and has_backup and call.streaming
 
     async def _read_body(self, call: Call, connection: UpstreamConnection) -> bytes:
         async with asyncio.timeout(max(0.0, self._remaining_s(call))):
--- /dev/null
+++ b/src/endivelug/forwarding/engine_reach.py
@@ -0,0 +1,76 @@
+"""Shows by new connections whether an engine can be reached.
+
+A single attempt without an answer shows little: a lost packet of its handshake is sent
+again after a second, and packets may queue on a busy link. Only several attempts that
+wait longer show that an engine is cut off.
+"""
+
+import asyncio
+from collections.abc import Callable
+from enum import Enum
+
+from endivelug.exceptions import UpstreamNotListening, UpstreamUnreachable
+from endivelug.forwarding.connection_pool import ConnectionPool
+from endivelug.forwarding.upstream_connection import connect
+
+# Connection attempts without an answer that show that an engine is cut off, the time
+# between their starts, and their time limit: packets may wait for half a second on a
+# busy link.
+CUT_OFF_ATTEMPTS = 2
+CUT_OFF_ATTEMPT_INTERVAL_S = 0.1
+CUT_OFF_TIMEOUT_S = 0.7
+
+
+class Reach(Enum):
+    """What a connection attempt showed.
+
+    ``REFUSES`` means that the host answers and nothing listens at the address.
+    """
+
+    ACCEPTS = "accepts"
+    REFUSES = "refuses"
+    NO_ANSWER = "no-answer"
+
+
+class EngineReach:
+    """Connects to engines anew: an idle connection may have outlived its engine."""
+
+    def __init__(self, *, pool: ConnectionPool, clock: Callable[[], float]) -> None:
+        self.pool = pool
+        self.clock = clock
+
+    async def check(self, address: str, *, timeout_s: float) -> Reach:
+        """Return what one connection attempt shows."""
+        try:
+            connection = await connect(address, timeout_s=timeout_s, clock=self.clock)
+        except UpstreamNotListening:
+            return Reach.REFUSES
+        except UpstreamUnreachable:
+            return Reach.NO_ANSWER
+        self.pool.release(address, connection, idle_s=None)
+        return Reach.ACCEPTS
+
+    async def check_cut_off(self, address: str) -> Reach:
+        """Return NO_ANSWER if several attempts that wait longer show it, too."""
+        attempts = [
+            asyncio.create_task(self._check_later(address, number))
+            for number in range(CUT_OFF_ATTEMPTS)
+        ]
+        try:
+            for attempt in asyncio.as_completed(attempts):
+                shown = await attempt
+                if shown is not Reach.NO_ANSWER:
+                    return shown
+        finally:
+            for task in attempts:
+                task.cancel()
+        return Reach.NO_ANSWER
+
+    async def _check_later(self, address: str, number: int) -> Reach:
+        await asyncio.sleep(number * CUT_OFF_ATTEMPT_INTERVAL_S)
+        ends_at = self.clock() + CUT_OFF_TIMEOUT_S
+        shown = await self.check(address, timeout_s=CUT_OFF_TIMEOUT_S)
+        if shown is Reach.NO_ANSWER:
+            # An error of the network, such as a missing route, comes at once.
+            await asyncio.sleep(max(0.0, ends_at - self.clock()))
+        return shown
--- a/src/endivelug/forwarding/instance_load.py
+++ b/src/endivelug/forwarding/instance_load.py
@@ -85,6 +85,9 @@
         until a connection to it succeeds.
     unreachable : bool
         Whether the instance is silent and the last connection attempt failed.
+    cut_off : bool
+        Whether several connection attempts got no answer, so that this VM does not
+        reach the instance.
     last_byte_at : float
         Time at which the last byte was received from the instance.
     reached_at : float
@@ -106,6 +109,7 @@
     orders: dict[str, float] = field(default_factory=dict)
     silent: bool = False
     unreachable: bool = False
+    cut_off: bool = False
     last_byte_at: float = 0.0
     reached_at: float = 0.0
     heard_by_others_at: float = 0.0
--- a/src/endivelug/forwarding/node.py
+++ b/src/endivelug/forwarding/node.py
@@ -20,6 +20,7 @@
 from endivelug.forwarding.crash_watch import CrashWatch
 from endivelug.forwarding.decision_log import DecisionLog
 from endivelug.forwarding.dispatcher import Dispatcher
+from endivelug.forwarding.engine_reach import EngineReach
 from endivelug.forwarding.error_responses import ErrorResponses
 from endivelug.forwarding.first_bytes import FirstByteRecorder
 from endivelug.forwarding.forwarder import UNREACHABLE_AVOID_S, Forwarder
@@ -88,6 +89,7 @@
         self.rng = rng
         self.clock = time.monotonic
         self.pool = ConnectionPool(clock=self.clock)
+        self.reach = EngineReach(pool=self.pool, clock=self.clock)
         self.platform = make_platform(self.pool)
         self.metrics = NodeMetrics(busiest=BusiestOrganisations())
         self.view = ClusterView(
@@ -175,7 +177,7 @@
         self.silence_watch = SilenceWatch(
             view=self.view,
             placer=self.placer,
-            pool=self.pool,
+            reach=self.reach,
             on_avoid=self._announce_avoid,
             clock=self.clock,
             rng=rng,
@@ -277,7 +279,7 @@
             view=self.view,
             dispatcher=self.dispatcher,
             runner=runner,
-            recovery=StreamRecovery(view=self.view, pool=self.pool, clock=self.clock),
+            recovery=StreamRecovery(view=self.view, reach=self.reach, clock=self.clock),
             budget=self.budget,
             quotas=self.quotas,
             recorder=recorder,
--- a/src/endivelug/forwarding/silence_watch.py
+++ b/src/endivelug/forwarding/silence_watch.py
@@ -6,9 +6,8 @@
 from functools import partial
 from typing import Any
 
-from endivelug.exceptions import UpstreamUnreachable
 from endivelug.forwarding.cluster_view import ClusterView, LogLine
-from endivelug.forwarding.connection_pool import ConnectionPool
+from endivelug.forwarding.engine_reach import EngineReach, Reach
 from endivelug.forwarding.instance_load import InstanceLoad
 from endivelug.forwarding.instances import Instance
 from endivelug.forwarding.placement import Placer
@@ -17,7 +16,6 @@
     ENGINE_SUSPECT_S,
     is_silent,
 )
-from endivelug.forwarding.upstream_connection import connect
 
 CHECK_INTERVAL_S = 0.1
 # Interval of the checks while this VM has no requests in progress.
@@ -45,7 +43,7 @@
         *,
         view: ClusterView,
         placer: Placer,
-        pool: ConnectionPool,
+        reach: EngineReach,
         on_avoid: Callable[[str, float], None],
         clock: Callable[[], float],
         rng: random.Random,
@@ -53,7 +51,7 @@
     ) -> None:
         self.view = view
         self.placer = placer
-        self.pool = pool
+        self.reach = reach
         self.on_avoid = on_avoid
         self.clock = clock
         self.rng = rng
@@ -100,7 +98,7 @@
     def _mark_silent(self, instance: Instance, load: InstanceLoad) -> None:
         now = self.clock()
         load.silent = True
-        self.pool.close_idle(instance.address)
+        self.reach.pool.close_idle(instance.address)
         self.log(
             "instance-silent",
             instance=instance.name,
@@ -129,22 +127,14 @@
     async def _check_reachable(self, instance: Instance) -> None:
         """Mark a suspected engine as silent if it accepts no connection."""
         load = self.view.loads.of(instance.name)
-        if await self._accepts_connection(instance):
+        if await self._check_once(instance) is Reach.ACCEPTS:
             load.reached_at = self.clock()
         elif not load.silent and load.work:
             load.unreachable = True
             self._mark_silent(instance, load)
 
-    async def _accepts_connection(self, instance: Instance) -> bool:
-        # Connects anew: an idle connection may have outlived its instance.
-        try:
-            connection = await connect(
-                instance.address, timeout_s=PROBE_TIMEOUT_S, clock=self.clock
-            )
-        except UpstreamUnreachable:
-            return False
-        self.pool.release(instance.address, connection, idle_s=None)
-        return True
+    async def _check_once(self, instance: Instance) -> Reach:
+        return await self.reach.check(instance.address, timeout_s=PROBE_TIMEOUT_S)
 
     def _instances_with_work(self) -> list[Instance]:
         names = [name for name, load in self.view.loads.loads.items() if load.work]
@@ -155,12 +145,18 @@
         """Probe a silent instance until it accepts a connection or is replaced."""
         load = self.view.loads.of(instance.name)
         while self.view.registry.get(instance.name) == instance:
+            if load.unreachable and not load.cut_off:
+                shown = await self.reach.check_cut_off(instance.address)
+                load.cut_off = shown is Reach.NO_ANSWER
+                self.on_avoid(instance.name, AVOID_NOTICE_S)
             await asyncio.sleep(PROBE_INTERVAL_S * self.rng.uniform(0.7, 1.3))
-            if await self._accepts_connection(instance):
+            shown = await self._check_once(instance)
+            if shown is Reach.ACCEPTS:
                 break
             load.unreachable = True
+            load.cut_off = load.cut_off and shown is Reach.NO_ANSWER
             self.on_avoid(instance.name, AVOID_NOTICE_S)
-        load.silent = load.unreachable = False
+        load.silent = load.unreachable = load.cut_off = False
         load.last_byte_at = load.reached_at = self.clock()
         if self.view.registry.get(instance.name) == instance:
             self.log("instance-reached", instance=instance.name)
--- a/src/endivelug/forwarding/stream_recovery.py
+++ b/src/endivelug/forwarding/stream_recovery.py
@@ -2,15 +2,13 @@
 
 from collections.abc import Callable
 
-from endivelug.exceptions import UpstreamUnreachable
 from endivelug.forwarding.calls import AttemptOutcome, Call, Lost
 from endivelug.forwarding.cluster_view import ClusterView
-from endivelug.forwarding.connection_pool import ConnectionPool
+from endivelug.forwarding.engine_reach import EngineReach, Reach
 from endivelug.forwarding.instances import Instance
 from endivelug.forwarding.placement import Placement
-from endivelug.forwarding.upstream_connection import connect
 
-# An engine that accepts no connection within this time has ended or is unreachable.
+# An engine that has ended refuses connections within this time.
 PROBE_TIMEOUT_S = 0.25
 
 
@@ -21,11 +19,11 @@
         self,
         *,
         view: ClusterView,
-        pool: ConnectionPool,
+        reach: EngineReach,
         clock: Callable[[], float],
     ) -> None:
         self.view = view
-        self.pool = pool
+        self.reach = reach
         self.clock = clock
 
     async def find_continuation(
@@ -33,15 +31,15 @@
     ) -> Placement | None:
         """Return the placement that continues the run, or None if it cannot continue.
 
-        The failed engine must be unreachable: while it accepts connections, it may
-        still run the request, and a request must not run at two engines.
+        The failed engine must have ended or be cut off: otherwise it may still run the
+        request, and a request must not run at two engines.
         """
         backup = failed.backup
         if not isinstance(outcome, Lost) or backup is None or call.continued:
             return None
         if not call.streaming or call.splitter.last_id is None:
             return None
-        if not await self._is_unreachable(failed.instance):
+        if not await self._has_ended(failed.instance):
             return None
         registered = self.view.registry.get(backup.name)
         if registered is None or registered.incarnation != backup.incarnation:
@@ -62,15 +60,11 @@
             continue_at=backup.address,
         )
 
-    async def _is_unreachable(self, engine: Instance) -> bool:
-        if self.view.loads.of(engine.name).unreachable:
+    async def _has_ended(self, engine: Instance) -> bool:
+        """Return whether an engine has ended or is cut off from this VM."""
+        if self.view.loads.of(engine.name).cut_off:
             return True
-        # Connects anew: an idle connection in the pool may have outlived its engine.
-        try:
-            connection = await connect(
-                engine.address, timeout_s=PROBE_TIMEOUT_S, clock=self.clock
-            )
-        except UpstreamUnreachable:
-            return True
-        self.pool.release(engine.address, connection, idle_s=None)
-        return False
+        shown = await self.reach.check(engine.address, timeout_s=PROBE_TIMEOUT_S)
+        if shown is Reach.NO_ANSWER:
+            shown = await self.reach.check_cut_off(engine.address)
+        return shown is not Reach.ACCEPTS
--- /dev/null
+++ b/tests/test_runs_at_two_engines.py
@@ -0,0 +1,111 @@
+"""Streams that may run once and go on elsewhere while their engine runs them."""
+
+import asyncio
+import contextlib
+
+from endivelug.forwarding.attempt import SILENCE_CHECK_INTERVAL_S
+from router_process import PROMPT, metrics_port, run_scenario, wait_until
+from test_stream_recovery import resume_from_copy, send_events, unrepeatable_streams
+from unanswered_connections import FullListener
+
+__all__ = ["metrics_port"]
+
+
+def break_connections(system, before_reset):
+    """Make each engine reset the connection of its run, which it goes on with."""
+
+    def make_script(engine):
+        async def script(exchange):
+            if "kv-from" in exchange.headers:
+                await resume_from_copy(exchange)
+                return
+            await send_events(exchange, 1, 2)
+            await before_reset(engine)
+            exchange.reset()
+
+        return script
+
+    for engine in system.engines:
+        engine.script = make_script(engine)
+
+
+# Guards against a stream that goes on elsewhere because one packet was lost: the first
+# packet of a connection is sent again after a second only. The engine still runs it.
+def test_one_unanswered_connection_attempt_does_not_show_that_an_engine_has_ended():
+    async def scenario(system):
+        listeners = []
+
+        async def before_reset(engine):
+            listeners.append(FullListener(engine))
+
+        break_connections(system, before_reset)
+        with contextlib.ExitStack() as stack:
+            response = asyncio.create_task(system.request(headers=PROMPT))
+            while not listeners:
+                await asyncio.sleep(0.01)
+            stack.callback(listeners[0].close)
+            await listeners[0].wait_for_attempt()
+            listeners[0].accept_again()
+            assert not (await response).complete
+        assert len(system.attempts()) == 1
+
+    run_scenario(scenario, engines=2, configuration=unrepeatable_streams())
+
+
+# Guards against a stream that leaves an engine which stops: it refuses connections, is
+# quiet for a while, and finishes its runs.
+def test_a_stream_stays_at_a_quiet_engine_that_refuses_connections():
+    async def scenario(system):
+        def make_script(engine):
+            async def script(exchange):
+                if "kv-from" in exchange.headers:
+                    await resume_from_copy(exchange)
+                    return
+                await send_events(exchange, 1, 2)
+                engine.crash()
+                await wait_until(lambda: "instance-silent" in system.log.events())
+                # A stream looks in this interval whether to leave its engine.
+                await asyncio.sleep(2 * SILENCE_CHECK_INTERVAL_S)
+                await exchange.send_event(3)
+                await exchange.end_stream()
+
+            return script
+
+        for engine in system.engines:
+            engine.script = make_script(engine)
+        watch = asyncio.create_task(system.node.silence_watch.run())
+        response = await system.request(headers={**PROMPT, "X-Deadline-Ms": "9000"})
+        watch.cancel()
+        assert response.complete
+        assert len(system.attempts()) == 1
+
+    run_scenario(scenario, engines=2, configuration=unrepeatable_streams())
+
+
+# Guards against a stream that is lost with an engine that this VM does not reach any
+# more, and that has closed nothing.
+def test_a_stream_goes_on_elsewhere_if_its_engine_is_cut_off():
+    async def scenario(system):
+        with contextlib.ExitStack() as stack:
+
+            def make_script(engine):
+                async def script(exchange):
+                    if "kv-from" in exchange.headers:
+                        await resume_from_copy(exchange)
+                        return
+                    await send_events(exchange, 1, 2)
+                    stack.callback(FullListener(engine).close)
+                    await asyncio.sleep(30)
+
+                return script
+
+            for engine in system.engines:
+                engine.script = make_script(engine)
+            watch = asyncio.create_task(system.node.silence_watch.run())
+            headers = {**PROMPT, "X-Deadline-Ms": "9000"}
+            response = await system.request(headers=headers)
+            watch.cancel()
+        assert response.complete
+        assert "instance-silent" in system.log.events()
+
+    run_scenario(scenario, engines=2, configuration=unrepeatable_streams())
