Take no refusing engine for ended while it may finish its runs

Upstreams saw: a stream that may run only once went on from its backup although its engine was only stopping, and finished the run. Cause: an engine that refuses connections counted as ended. One that stops refuses them first and finishes its runs, and its connection can be lost in the meantime, or be left by the router itself after an answer that is not valid. Evidence: tests/test_runs_at_two_engines.py on the code before: the streams of an engine that is listed as draining, and of one that sent an invalid answer, are complete ("assert not True", "(200, True) == (200, False)"), so they ran at two engines. Ruled out: engines that have crashed: the kernel closes their connections and refuses new ones, and their entry stays for some heartbeats; their streams go on as before (tests/test_stream_recovery.py). Change: a refusal shows the end of a run only if the upstream closed the connection of the run and its entry is neither gone nor draining. A connection that the kernel gave up for want of acknowledgements, or that the router closed, was not closed by the upstream.

--- a/src/endivelug/forwarding/attempt.py
+++ b/src/endivelug/forwarding/attempt.py
@@ -133,7 +133,7 @@
             )
             return outcome
         except UpstreamBroken as error:
-            return Lost(reason=str(error), closed=True)
+            return Lost(reason=str(error), closed=connection.closed_by_peer)
         except TimeoutError:
             if self.is_blocked(call):
                 return GivenUp()
--- a/src/endivelug/forwarding/calls.py
+++ b/src/endivelug/forwarding/calls.py
@@ -185,7 +185,8 @@
     Attributes
     ----------
     closed : bool
-        Whether the connection was closed; otherwise the router's time limit passed.
+        Whether the upstream closed the connection; otherwise the router left it after
+        its time limit or an answer that is not valid.
     """
 
     reason: str
--- a/src/endivelug/forwarding/stream_recovery.py
+++ b/src/endivelug/forwarding/stream_recovery.py
@@ -39,7 +39,7 @@
             return None
         if not call.streaming or call.splitter.last_id is None:
             return None
-        if not await self._has_ended(failed.instance):
+        if not await self._has_ended(failed.instance, outcome):
             return None
         registered = self.view.registry.get(backup.name)
         if registered is None or registered.incarnation != backup.incarnation:
@@ -60,11 +60,27 @@
             continue_at=backup.address,
         )
 
-    async def _has_ended(self, engine: Instance) -> bool:
+    async def _has_ended(self, engine: Instance, lost: Lost) -> bool:
         """Return whether an engine has ended or is cut off from this VM."""
         if self.view.loads.of(engine.name).cut_off:
             return True
+        if not lost.closed:
+            return False
         shown = await self.reach.check(engine.address, timeout_s=PROBE_TIMEOUT_S)
         if shown is Reach.NO_ANSWER:
             shown = await self.reach.check_cut_off(engine.address)
-        return shown is not Reach.ACCEPTS
+        if shown is Reach.REFUSES:
+            return not self._is_stopping(engine)
+        return shown is Reach.NO_ANSWER
+
+    def _is_stopping(self, engine: Instance) -> bool:
+        """Return whether an engine may refuse connections and still finish its runs.
+
+        The entry of one that stops says so or is removed; that of one that has crashed
+        stays for some heartbeats.
+        """
+        registered = self.view.registry.get(engine.name)
+        if registered is None:
+            return True
+        same = registered.incarnation == engine.incarnation
+        return same and registered.draining
--- a/src/endivelug/forwarding/upstream_connection.py
+++ b/src/endivelug/forwarding/upstream_connection.py
@@ -86,6 +86,8 @@
         Hashes of the ids of the requests that it was given to carry.
     account : MemoryAccount or None
         Charged for what is read from the upstream and not yet passed on.
+    closed_by_peer : bool
+        Whether the upstream closed or reset the connection.
     on_closed : callable or None
         Called once the socket is closed.
     kept_bytes : int
@@ -102,6 +104,7 @@
         self.use = Use.CALLS
         self.carried: set[int] = set()
         self.closed = False
+        self.closed_by_peer = False
         self.on_closed: Callable[[], None] | None = None
         self._transport: asyncio.Transport
         self._parser: ResponseParser | None = None
@@ -123,6 +126,10 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Complete or fail the response in progress."""
         aborted = self.closed
+        # A peer that acknowledges nothing is a time-out and no connection error.
+        self.closed_by_peer = not aborted and (
+            exc is None or isinstance(exc, ConnectionError)
+        )
         self.closed = self._lost = True
         if self._parser is not None and aborted:
             self._fail(_LOST)
--- a/tests/test_runs_at_two_engines.py
+++ b/tests/test_runs_at_two_engines.py
@@ -4,6 +4,7 @@
 import contextlib
 
 from endivelug.forwarding.attempt import SILENCE_CHECK_INTERVAL_S
+from forwarding_builders import registration_document
 from router_process import PROMPT, metrics_port, run_scenario, wait_until
 from test_stream_recovery import resume_from_copy, send_events, unrepeatable_streams
 from unanswered_connections import FullListener
@@ -29,6 +30,10 @@
         engine.script = make_script(engine)
 
 
+def has_started(load):
+    return any(work.started for work in load.work.values())
+
+
 # Guards against a stream that goes on elsewhere because one packet was lost: the first
 # packet of a connection is sent again after a second only. The engine still runs it.
 def test_one_unanswered_connection_attempt_does_not_show_that_an_engine_has_ended():
@@ -82,6 +87,53 @@
     run_scenario(scenario, engines=2, configuration=unrepeatable_streams())
 
 
+# Guards against a stream that goes on elsewhere because its engine, which stops and
+# refuses connections, has lost the connection of a run that it finishes.
+def test_an_engine_that_stops_has_not_ended():
+    async def scenario(system):
+        async def stop(engine):
+            name = f"i{system.engines.index(engine)}"
+            document = registration_document(address=engine.address, state="draining")
+            system.store.put("servers", name, document)
+            registry = system.node.view.registry
+            await wait_until(lambda: registry.get(name).draining)
+            engine.crash()
+
+        break_connections(system, stop)
+        response = await system.request(headers=PROMPT)
+        assert not response.complete
+        assert len(system.attempts()) == 1
+
+    run_scenario(scenario, engines=2, configuration=unrepeatable_streams())
+
+
+# Guards against the same where the router left the connection itself, because what came
+# on it is not valid.
+def test_an_engine_that_sent_an_invalid_answer_has_not_ended():
+    async def scenario(system):
+        def make_script(engine):
+            async def script(exchange):
+                if "kv-from" in exchange.headers:
+                    await resume_from_copy(exchange)
+                    return
+                await send_events(exchange, 1, 2)
+                loads = system.node.view.loads.loads.values()
+                await wait_until(lambda: any(has_started(load) for load in loads))
+                engine.crash()
+                await exchange.send(b"not the length of a chunk\r\n")
+                await asyncio.sleep(30)
+
+            return script
+
+        for engine in system.engines:
+            engine.script = make_script(engine)
+        response = await system.request(headers=PROMPT)
+        assert (response.status, response.complete) == (200, False)
+        assert len(system.attempts()) == 1
+
+    run_scenario(scenario, engines=2, configuration=unrepeatable_streams())
+
+
 # Guards against a stream that is lost with an engine that this VM does not reach any
 # more, and that has closed nothing.
 def test_a_stream_goes_on_elsewhere_if_its_engine_is_cut_off():
