Conclude nothing about upstreams from time that this process was paused

Seen after a pause of the router (SIGSTOP, no processor time): requests that may run again were repeated all at once, engines were told to all routers as silent, and an engine that had accepted the connection counted as unreachable, so that streams that may run only once left it. Cause: all timers have expired when the process runs again, and uvloop runs them before it polls the sockets, so each time limit passed before the answer was read that lay in the kernel. The silence of an engine was counted over the pause. Ruled out: asyncio's own loop, which polls before it runs timers. Silence is counted from the end of the last pause, a time limit that passed in a pause leaves 0.2 s to read what has come, and a connection attempt without an answer is repeated if it met a pause.

--- a/src/endivelug/forwarding/attempt.py
+++ b/src/endivelug/forwarding/attempt.py
@@ -28,11 +28,8 @@
 )
 from endivelug.forwarding.front_server import Writer
 from endivelug.forwarding.placement import Placement
-from endivelug.forwarding.requests import (
-    ResponseInfo,
-    SendOptions,
-    WireFormat,
-)
+from endivelug.forwarding.process_pauses import ProcessPauses
+from endivelug.forwarding.requests import ResponseInfo, SendOptions, WireFormat
 from endivelug.forwarding.upstream_connection import (
     BodyData,
     BodyEnd,
@@ -78,6 +75,7 @@
         wire: WireFormat,
         pool: ConnectionPool,
         view: ClusterView,
+        pauses: ProcessPauses,
         clock: Callable[[], float],
         on_started: Callable[[Call, Placement], None],
         on_head: Callable[[Call, Placement, ResponseInfo], None],
@@ -87,6 +85,7 @@
         self.wire = wire
         self.pool = pool
         self.view = view
+        self.pauses = pauses
         self.clock = clock
         self.on_started = on_started
         self.on_head = on_head
@@ -251,10 +250,14 @@
             If the deadline passes or ``leave`` returns True; it is called regularly.
         """
         event = connection.take_event()
+        passed = False
         while event is None:
             wait_s = min(deadline - self.clock(), SILENCE_CHECK_INTERVAL_S)
             await connection.wait_for_event(timeout_s=max(0.0, wait_s))
             event = connection.take_event()
+            if self.clock() >= deadline and not passed:
+                # After a pause, the answer may not have been read yet.
+                passed, deadline = True, self.pauses.extend(deadline)
             if event is None and (self.clock() >= deadline or leave()):
                 raise TimeoutError
         return event
@@ -266,8 +269,8 @@
         if silence_timeout_s is None:
             return False
         load = self.view.loads.of(placement.instance.name)
-        quiet_s = self.clock() - max(load.last_heard_at, sent_at)
-        return load.silent or quiet_s > silence_timeout_s
+        heard_at = max(load.last_heard_at, sent_at, self.pauses.running_since())
+        return load.silent or self.clock() - heard_at > silence_timeout_s
 
     def _can_leave_unreachable(self, call: Call, placement: Placement) -> bool:
         """Return whether a stream can go on elsewhere, as its engine is unreachable."""
--- a/src/endivelug/forwarding/engine_reach.py
+++ b/src/endivelug/forwarding/engine_reach.py
@@ -2,7 +2,8 @@
 
 A single attempt without an answer shows little: a lost packet of its handshake is sent
 again after a second, and packets may queue on a busy link. Only several attempts that
-wait longer show that an engine is cut off.
+wait longer show that an engine is cut off. An attempt during which this process was
+paused shows nothing without an answer: its time limit is noticed before the answer.
 """
 
 import asyncio
@@ -11,6 +12,7 @@
 
 from endivelug.exceptions import UpstreamNotListening, UpstreamUnreachable
 from endivelug.forwarding.connection_pool import ConnectionPool
+from endivelug.forwarding.process_pauses import ProcessPauses
 from endivelug.forwarding.upstream_connection import connect
 
 # Connection attempts without an answer that show that an engine is cut off, the time
@@ -21,26 +23,48 @@
 CUT_OFF_TIMEOUT_S = 0.7
 
 
+# An attempt that a pause of this process spoilt is repeated so often.
+MAX_ATTEMPTS = 3
+
+
 class Reach(Enum):
     """What a connection attempt showed.
 
-    ``REFUSES`` means that the host answers and nothing listens at the address.
+    ``REFUSES`` means that the host answers and nothing listens at the address,
+    ``UNKNOWN`` that this process was paused.
     """
 
     ACCEPTS = "accepts"
     REFUSES = "refuses"
     NO_ANSWER = "no-answer"
+    UNKNOWN = "unknown"
 
 
 class EngineReach:
     """Connects to engines anew: an idle connection may have outlived its engine."""
 
-    def __init__(self, *, pool: ConnectionPool, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        *,
+        pool: ConnectionPool,
+        pauses: ProcessPauses,
+        clock: Callable[[], float],
+    ) -> None:
         self.pool = pool
+        self.pauses = pauses
         self.clock = clock
 
     async def check(self, address: str, *, timeout_s: float) -> Reach:
-        """Return what one connection attempt shows."""
+        """Return what a connection attempt without a pause of this process shows."""
+        for _ in range(MAX_ATTEMPTS):
+            started_at = self.clock()
+            shown = await self._connect(address, timeout_s)
+            paused = self.pauses.running_since() > started_at
+            if shown is not Reach.NO_ANSWER or not paused:
+                return shown
+        return Reach.UNKNOWN
+
+    async def _connect(self, address: str, timeout_s: float) -> Reach:
         try:
             connection = await connect(address, timeout_s=timeout_s, clock=self.clock)
         except UpstreamNotListening:
--- a/src/endivelug/forwarding/loop_watch.py
+++ b/src/endivelug/forwarding/loop_watch.py
@@ -8,14 +8,14 @@
 from collections.abc import Callable
 
 from endivelug.forwarding.cluster_view import LogLine
+from endivelug.forwarding.process_pauses import TICK_INTERVAL_S, ProcessPauses
 
-CHECK_INTERVAL_S = 0.25
 # Lateness from which a line is logged; about the age of a peer's report.
 LATE_S = 0.25
 
 
 class LoopWatch:
-    """Measures how late the event loop runs a timer.
+    """Measures how late the event loop runs a timer, and ticks for the pauses.
 
     Attributes
     ----------
@@ -23,7 +23,10 @@
         Greatest lateness since the start, in seconds.
     """
 
-    def __init__(self, *, clock: Callable[[], float], log: LogLine) -> None:
+    def __init__(
+        self, *, pauses: ProcessPauses, clock: Callable[[], float], log: LogLine
+    ) -> None:
+        self.pauses = pauses
         self.clock = clock
         self.log = log
         self.longest_s = 0.0
@@ -31,8 +34,9 @@
     async def run(self) -> None:
         """Measure until cancelled."""
         while True:
-            due_at = self.clock() + CHECK_INTERVAL_S
-            await asyncio.sleep(CHECK_INTERVAL_S)
+            self.pauses.tick()
+            due_at = self.clock() + TICK_INTERVAL_S
+            await asyncio.sleep(TICK_INTERVAL_S)
             self.record(self.clock() - due_at)
 
     def record(self, late_s: float) -> None:
--- a/src/endivelug/forwarding/node.py
+++ b/src/endivelug/forwarding/node.py
@@ -37,6 +37,7 @@
 from endivelug.forwarding.peer_messages import NoticeKind
 from endivelug.forwarding.peers import Peers
 from endivelug.forwarding.placement import OLD_WEIGHTS_MARGIN_S, Placer
+from endivelug.forwarding.process_pauses import ProcessPauses
 from endivelug.forwarding.quotas.quota_gate import make_quota_gate
 from endivelug.forwarding.refused_callers import RefusedCallers
 from endivelug.forwarding.retry_budget import SharedRetryBudget
@@ -89,7 +90,8 @@
         self.rng = rng
         self.clock = time.monotonic
         self.pool = ConnectionPool(clock=self.clock)
-        self.reach = EngineReach(pool=self.pool, clock=self.clock)
+        self.pauses = ProcessPauses(clock=self.clock)
+        self.reach = EngineReach(pool=self.pool, pauses=self.pauses, clock=self.clock)
         self.platform = make_platform(self.pool)
         self.metrics = NodeMetrics(busiest=BusiestOrganisations())
         self.view = ClusterView(
@@ -211,7 +213,7 @@
             on_cached=self.dispatcher.schedule_assignment,
             clock=self.clock,
         )
-        self.loop_watch = LoopWatch(clock=self.clock, log=log)
+        self.loop_watch = LoopWatch(pauses=self.pauses, clock=self.clock, log=log)
         self.forwarder = self._make_forwarder()
         self.front_server = make_front_server(
             self.forwarder, settings=settings, metrics=self.metrics
@@ -254,6 +256,7 @@
             wire=self.platform.wire,
             pool=self.pool,
             view=self.view,
+            pauses=self.pauses,
             clock=self.clock,
             on_started=self.first_bytes.record,
             on_head=self.first_bytes.record_head,
--- a/src/endivelug/forwarding/silence_detection.py
+++ b/src/endivelug/forwarding/silence_detection.py
@@ -30,6 +30,7 @@
     engine: bool,
     tokens_per_s: float,
     silence_s: float = ENGINE_SILENCE_S,
+    running_since: float = float("-inf"),
 ) -> bool:
     """Return whether a busy instance has sent nothing to any VM for too long.
 
@@ -44,11 +45,13 @@
         Prefill rate of the engines.
     silence_s : float
         Longest silence of an engine that prefills nothing.
+    running_since : float
+        End of the last pause of this process, during which it read nothing.
     """
     if not load.work:
         return False
     oldest = min(work.sent_at for work in load.work.values())
-    silent_s = now - max(oldest, load.last_heard_at)
+    silent_s = now - max(oldest, load.last_heard_at, running_since)
     if not engine:
         return silent_s > SERVICE_SILENCE_S * load.current_slowdown(now=now)
     slowdown = max(1.0, load.current_slowdown(now=now))
--- a/src/endivelug/forwarding/silence_watch.py
+++ b/src/endivelug/forwarding/silence_watch.py
@@ -85,6 +85,7 @@
             engine=bool(instance.model_versions),
             tokens_per_s=self.placer.prefill_rate(instance.service).tokens_per_s,
             silence_s=silence_s,
+            running_since=self.reach.pauses.running_since(),
         )
 
     def _is_suspect(self, instance: Instance, load: InstanceLoad) -> bool:
@@ -127,9 +128,10 @@
     async def _check_reachable(self, instance: Instance) -> None:
         """Mark a suspected engine as silent if it accepts no connection."""
         load = self.view.loads.of(instance.name)
-        if await self._check_once(instance) is Reach.ACCEPTS:
+        shown = await self._check_once(instance)
+        if shown is Reach.ACCEPTS:
             load.reached_at = self.clock()
-        elif not load.silent and load.work:
+        elif shown is not Reach.UNKNOWN and not load.silent and load.work:
             load.unreachable = True
             self._mark_silent(instance, load)
 
@@ -153,6 +155,8 @@
             shown = await self._check_once(instance)
             if shown is Reach.ACCEPTS:
                 break
+            if shown is Reach.UNKNOWN:
+                continue
             load.unreachable = True
             load.cut_off = load.cut_off and shown is Reach.NO_ANSWER
             self.on_avoid(instance.name, AVOID_NOTICE_S)
--- a/tests/router_process.py
+++ b/tests/router_process.py
@@ -133,12 +133,13 @@
     monkeypatch.setattr("endivelug.forwarding.node.METRICS_PORT", free_port())
 
 
-def run_scenario(scenario, **options):
+def run_scenario(scenario, *, new_loop=None, **options):
     async def run():
         async with asyncio.timeout(20), running_system(**options) as system:
             await scenario(system)
 
-    asyncio.run(run())
+    with asyncio.Runner(loop_factory=new_loop) as runner:
+        runner.run(run())
 
 
 async def stream_three_events(exchange):
--- a/tests/unanswered_connections.py
+++ b/tests/unanswered_connections.py
@@ -19,7 +19,7 @@
     def __init__(self, upstream):
         upstream.server.close()
         host, port = upstream.address.split(":")
-        self.port = int(port)
+        self.address, self.port = upstream.address, int(port)
         self.socket = socket.socket()
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.socket.bind((host, self.port))
