Believe an error without an id on no connection that has been idle

Callers saw: 503 for a request that ran; it could also be sent to a second upstream. Cause: an error without an id was believed if the connection had carried no other request. Connections that only showed that an upstream accepts them (checks of silence, crashes and lost streams) wait in the pool and have carried none, so what the upstream had sent on them before, such as a refusal of the connection, counted as the answer to their first request. Evidence: tests/test_late_copies.py test_a_refusal_without_an_id_on_an_idle_connection_promises_nothing on the code before: "assert 503 == 502", with the run at the upstream. Ruled out: bytes that are read while the connection is idle close it; those in question come or are read once the request is sent, as after a pause. Answers with an id are told apart. Change: only a connection that has never been idle counts as new.

--- a/src/endivelug/forwarding/attempt.py
+++ b/src/endivelug/forwarding/attempt.py
@@ -180,8 +180,8 @@
         head = await self._read_head(call, placement, connection)
         info = self.wire.response_info(head, instance=placement.instance.name)
         self.on_head(call, placement, info)
-        if not info.identified and len(connection.carried) > 1:
-            # It may be a late copy of the answer to an earlier request.
+        if not info.identified and not connection.is_new:
+            # It may answer an earlier request, or none.
             return Lost(reason="an error without an id on a used connection"), None
         if info.not_run:
             call.runs -= 1
--- a/src/endivelug/forwarding/connection_pool.py
+++ b/src/endivelug/forwarding/connection_pool.py
@@ -179,6 +179,7 @@
             Idle timeout that the upstream stated, if any.
         """
         connection.drop_kept()
+        connection.is_new = False
         entries = self.idle.setdefault((address, connection.use), [])
         used_up = len(connection.carried) >= MAX_REQUESTS
         full = len(entries) >= MAX_IDLE_PER_ADDRESS
--- a/src/endivelug/forwarding/upstream_connection.py
+++ b/src/endivelug/forwarding/upstream_connection.py
@@ -84,6 +84,8 @@
         Clock time after which an idle connection must not be reused.
     carried : set of int
         Hashes of the ids of the requests that it was given to carry.
+    is_new : bool
+        Whether it has not been idle yet, so that what arrives answers its request.
     account : MemoryAccount or None
         Charged for what is read from the upstream and not yet passed on.
     closed_by_peer : bool
@@ -103,6 +105,7 @@
         self.idle_until = float("inf")
         self.use = Use.CALLS
         self.carried: set[int] = set()
+        self.is_new = True
         self.closed = False
         self.closed_by_peer = False
         self.on_closed: Callable[[], None] | None = None
@@ -127,9 +130,7 @@
         """Complete or fail the response in progress."""
         aborted = self.closed
         # A peer that acknowledges nothing is a time-out and no connection error.
-        self.closed_by_peer = not aborted and (
-            exc is None or isinstance(exc, ConnectionError)
-        )
+        self.closed_by_peer = not aborted and isinstance(exc, ConnectionError | None)
         self.closed = self._lost = True
         if self._parser is not None and aborted:
             self._fail(_LOST)
--- a/tests/test_late_copies.py
+++ b/tests/test_late_copies.py
@@ -7,6 +7,7 @@
 
 from endivelug.exceptions import UpstreamUnreachable
 from endivelug.forwarding.connection_pool import MAX_REQUESTS, ConnectionPool
+from endivelug.forwarding.engine_reach import Reach
 from endivelug.forwarding.weights_rollout import OrderReply, WeightsOrder
 from endivelug.platform.engine_calls import EngineCalls
 from forwarding_builders import make_instance
@@ -83,6 +84,28 @@
     run_scenario(scenario, desks=1)
 
 
+# Guards against the same on a connection that was idle before its first request: what
+# came in the meantime, such as a refusal of the connection, answers no request.
+def test_a_refusal_without_an_id_on_an_idle_connection_promises_nothing():
+    async def scenario(system):
+        runs = []
+
+        async def script(exchange):
+            await exchange.send(refusal_without_id(exchange.id))
+            runs.append(exchange.id)
+            await exchange.respond()
+
+        for desk in system.desks:
+            desk.script = script
+            shown = await system.node.reach.check(desk.address, timeout_s=5.0)
+            assert shown is Reach.ACCEPTS
+        response = await system.request("/a/orders/1")
+        assert response.status == 502
+        assert runs == ["q1"]
+
+    run_scenario(scenario)
+
+
 # Guards against giving up a request because an upstream refuses it without its id.
 def test_a_refusal_without_an_id_on_a_new_connection_is_believed():
     async def scenario(system):
