Tell unanswered connection attempts from those that failed otherwise

Seen: an engine could count as cut off, so that streams that may run only once went on elsewhere while it ran them, and all routers avoided it, although it had answered: engines reset connections beyond their limit. The same came of a router without a descriptor, port or memory for a socket. Cause: each error of a connection attempt but a refusal counted as no answer. If the reset of a new connection arrives before the event loop sees that it was made, connecting fails. Evidence: tests/test_upstream_connection.py on the code before, on asyncio and uvloop: "NO_ANSWER is UNKNOWN" for a connection that was reset at once, and for a process that has reached RLIMIT_NOFILE. Ruled out: requests; nothing had been sent in either case, so "not sent" was true. Change: connect_errors maps errors of the socket to types. Only the time limit and the errors of a network without a way or an answer count as no answer; want of sockets is a local cause, for which a request does not avoid the upstream either.

--- a/src/endivelug/exceptions.py
+++ b/src/endivelug/exceptions.py
@@ -133,6 +133,10 @@
     """Nothing listens at the upstream's address, as after a crash; use another one."""
 
 
+class UpstreamNotAnswering(UpstreamUnreachable):
+    """No answer to a connection attempt came in time; use another upstream."""
+
+
 class UpstreamBroken(EndivelugError):
     """The upstream failed after the request was sent; the request may have run."""
 
--- a/src/endivelug/forwarding/engine_reach.py
+++ b/src/endivelug/forwarding/engine_reach.py
@@ -10,7 +10,11 @@
 from collections.abc import Callable
 from enum import Enum
 
-from endivelug.exceptions import UpstreamNotListening, UpstreamUnreachable
+from endivelug.exceptions import (
+    UpstreamNotAnswering,
+    UpstreamNotListening,
+    UpstreamUnreachable,
+)
 from endivelug.forwarding.connection_pool import ConnectionPool
 from endivelug.forwarding.process_pauses import ProcessPauses
 from endivelug.forwarding.upstream_connection import connect
@@ -30,8 +34,9 @@
 class Reach(Enum):
     """What a connection attempt showed.
 
-    ``REFUSES`` means that the host answers and nothing listens at the address,
-    ``UNKNOWN`` that this process was paused.
+    ``REFUSES`` means that the host answers and nothing listens at the address.
+    ``UNKNOWN`` shows nothing: this process was paused or has no socket left, or the
+    connection was reset at once, as by an engine that has too many.
     """
 
     ACCEPTS = "accepts"
@@ -69,8 +74,10 @@
             connection = await connect(address, timeout_s=timeout_s, clock=self.clock)
         except UpstreamNotListening:
             return Reach.REFUSES
-        except UpstreamUnreachable:
+        except UpstreamNotAnswering:
             return Reach.NO_ANSWER
+        except UpstreamUnreachable:
+            return Reach.UNKNOWN
         self.pool.release(address, connection, idle_s=None)
         return Reach.ACCEPTS
 
--- a/src/endivelug/forwarding/upstream_connection.py
+++ b/src/endivelug/forwarding/upstream_connection.py
@@ -14,12 +14,9 @@
 
 import h11
 
-from endivelug.exceptions import (
-    UpstreamBroken,
-    UpstreamNotListening,
-    UpstreamUnreachable,
-)
+from endivelug.exceptions import UpstreamBroken
 from endivelug.forwarding.buffers.memory_account import MemoryAccount
+from endivelug.forwarding.connect_errors import connect_error
 from endivelug.forwarding.response_parser import (
     BodyData,
     BodyEnd,
@@ -375,10 +372,8 @@
 
     Raises
     ------
-    UpstreamNotListening
-        If nothing listens at the address; nothing was sent.
     UpstreamUnreachable
-        If no connection was made in time; nothing was sent.
+        If no connection was made in time; nothing was sent. See ``connect_error``.
     """
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
@@ -387,12 +382,6 @@
             _, connection = await loop.create_connection(
                 lambda: UpstreamConnection(clock=clock), host, int(port)
             )
-    except ConnectionRefusedError as error:
-        raise UpstreamNotListening(
-            f"no connection to {address} ({error}); use another upstream"
-        ) from error
     except (OSError, TimeoutError, ValueError, OverflowError) as error:
-        raise UpstreamUnreachable(
-            f"no connection to {address} ({error or 'timeout'}); use another upstream"
-        ) from error
+        raise connect_error(address, error) from error
     return connection
--- a/tests/test_upstream_connection.py
+++ b/tests/test_upstream_connection.py
@@ -1,10 +1,16 @@
 import asyncio
+import contextlib
+import os
+import resource
 import time
 
 import pytest
+import uvloop
 
-from endivelug.exceptions import UpstreamBroken, UpstreamUnreachable
+from endivelug.exceptions import NoDescriptor, UpstreamBroken, UpstreamUnreachable
 from endivelug.forwarding.connection_pool import ConnectionPool
+from endivelug.forwarding.engine_reach import EngineReach, Reach
+from endivelug.forwarding.process_pauses import ProcessPauses
 from endivelug.forwarding.upstream_connection import (
     BodyData,
     BodyEnd,
@@ -12,6 +18,7 @@
     ResponseHead,
 )
 from platform_standins import response_bytes, running_upstream
+from unanswered_connections import FullListener
 
 
 def make_head(request_id="q1"):
@@ -161,3 +168,55 @@
             await pool.acquire("127.0.0.1:1", timeout_s=0.2)
 
     asyncio.run(run())
+
+
+@contextlib.contextmanager
+def without_descriptors():
+    """Leave this process no descriptor for a new socket."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    with open(os.devnull) as lowest_free:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (lowest_free.fileno() + 1, hard))
+        try:
+            yield
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+
+# Guards against taking an engine for cut off, or avoiding an upstream, because this
+# process cannot open a connection.
+@pytest.mark.parametrize("new_loop", [asyncio.new_event_loop, uvloop.new_event_loop])
+def test_a_connection_that_this_process_cannot_open_shows_nothing(new_loop):
+    async def scenario():
+        pool = ConnectionPool(clock=time.monotonic)
+        pauses = ProcessPauses(clock=time.monotonic)
+        reach = EngineReach(pool=pool, pauses=pauses, clock=time.monotonic)
+        async with running_upstream() as upstream:
+            with without_descriptors():
+                assert await reach.check_cut_off(upstream.address) is Reach.UNKNOWN
+                with pytest.raises(NoDescriptor):
+                    await pool.acquire(upstream.address, timeout_s=5.0, request_id="q")
+
+    with asyncio.Runner(loop_factory=new_loop) as runner:
+        runner.run(scenario())
+
+
+# Guards against taking an engine for cut off that resets connections beyond its limit.
+@pytest.mark.parametrize("new_loop", [asyncio.new_event_loop, uvloop.new_event_loop])
+def test_a_connection_that_is_reset_at_once_was_answered(new_loop):
+    async def scenario():
+        pool = ConnectionPool(clock=time.monotonic)
+        pauses = ProcessPauses(clock=time.monotonic)
+        reach = EngineReach(pool=pool, pauses=pauses, clock=time.monotonic)
+        async with running_upstream() as upstream:
+            with contextlib.closing(FullListener(upstream)) as listener:
+                check = asyncio.create_task(
+                    reach.check(upstream.address, timeout_s=10.0)
+                )
+                await listener.wait_for_attempt()
+                listener.accept_again()
+                # Before the event loop sees that the connection was made.
+                listener.reset_next()
+                assert await check is Reach.UNKNOWN
+
+    with asyncio.Runner(loop_factory=new_loop) as runner:
+        runner.run(scenario())
--- a/tests/unanswered_connections.py
+++ b/tests/unanswered_connections.py
@@ -1,12 +1,14 @@
 """Upstreams on loopback that leave connection attempts unanswered for a while."""
 
 import socket
+import struct
 
 from router_process import wait_until
 
 # State of a TCP connection in /proc/net/tcp whose first packet has no answer yet.
 SYN_SENT = "02"
 OPEN_BACKLOG = 128
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class FullListener:
@@ -34,6 +36,13 @@
         """Accept further connections; what is lost by then is sent again after 1 s."""
         self.socket.listen(OPEN_BACKLOG)
 
+    def reset_next(self):
+        """Wait for the next connection without running the event loop, and reset it."""
+        self.socket.accept()[0].close()
+        connection, _ = self.socket.accept()
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        connection.close()
+
     def close(self):
         self.queued.close()
         self.socket.close()
