Take no answer without a length for whole because its upstream is silent

Callers saw: an answer that a crash had cut short and that looked complete. Cause: an answer without a length ends with its connection, and so does one that a crash cuts short. A new connection tells them apart, but an attempt without an answer (a lost packet, a full queue, a pause of the router) counted as a sign that the upstream lives. Ruled out: resets; they end the answer as broken at once. Change: no answer in 0.7 s, within the time of the call, counts like a refusal; a pause of the router repeats the attempt. A whole answer of an upstream that is cut off in the same moment becomes 502, which promises nothing.

--- a/src/endivelug/forwarding/attempt.py
+++ b/src/endivelug/forwarding/attempt.py
@@ -6,7 +6,6 @@
 from endivelug.exceptions import (
     NoDescriptor,
     UpstreamBroken,
-    UpstreamNotListening,
     UpstreamUnreachable,
 )
 from endivelug.forwarding import attempt_limits
@@ -26,9 +25,9 @@
     ConnectionPool,
     read_body,
 )
+from endivelug.forwarding.engine_reach import EngineReach, Reach
 from endivelug.forwarding.front_server import Writer
 from endivelug.forwarding.placement import Placement
-from endivelug.forwarding.process_pauses import ProcessPauses
 from endivelug.forwarding.requests import ResponseInfo, SendOptions, WireFormat
 from endivelug.forwarding.upstream_connection import (
     BodyData,
@@ -36,15 +35,15 @@
     ResponseEvent,
     ResponseHead,
     UpstreamConnection,
-    connect,
 )
 
 # The upstream may have closed a connection that was idle for longer. A request that may
 # run only once is not sent on such a connection, because it could be lost there.
 NON_REPEATABLE_MAX_IDLE_S = 3.0
 SILENCE_CHECK_INTERVAL_S = 0.2
-# Time limit of the connection that tells whether an upstream still lives.
-END_CHECK_TIMEOUT_S = 0.25
+# Time limit of the connection that tells whether an upstream still lives; packets may
+# wait for half a second on a busy link.
+END_CHECK_TIMEOUT_S = 0.7
 MAX_PRIORITY = 9
 # A stream that brings more events at once pauses for each of them, so that tiny events
 # without end leave most of the processor to other requests.
@@ -75,7 +74,7 @@
         wire: WireFormat,
         pool: ConnectionPool,
         view: ClusterView,
-        pauses: ProcessPauses,
+        reach: EngineReach,
         clock: Callable[[], float],
         on_started: Callable[[Call, Placement], None],
         on_head: Callable[[Call, Placement, ResponseInfo], None],
@@ -85,7 +84,8 @@
         self.wire = wire
         self.pool = pool
         self.view = view
-        self.pauses = pauses
+        self.reach = reach
+        self.pauses = reach.pauses
         self.clock = clock
         self.on_started = on_started
         self.on_head = on_head
@@ -208,7 +208,7 @@
             )
         self._report_started(call, placement)
         body = await self._read_body(call, connection)
-        await self._check_complete(head, placement)
+        await self._check_complete(call, head, placement)
         await writer.start(
             head.status, head.reason, self.wire.caller_headers(head), body
         )
@@ -331,7 +331,7 @@
                 case BodyEnd():
                     if splitter.partial and _is_event_stream(call, head):
                         raise UpstreamBroken("the stream ended inside an event")
-                    await self._check_complete(head, placement)
+                    await self._check_complete(call, head, placement)
                     if splitter.partial or not call.streaming:
                         await self._write_response(
                             call, writer, head, bytes(splitter.partial)
@@ -350,30 +350,24 @@
         if data:
             await writer.write(data)
 
-    async def _check_complete(self, head: ResponseHead, placement: Placement) -> None:
+    async def _check_complete(
+        self, call: Call, head: ResponseHead, placement: Placement
+    ) -> None:
         """Look whether the upstream still lives, if only that tells the end of a body.
 
         Raises
         ------
         UpstreamBroken
-            If the body ended with its connection and nothing listens there any more: a
+            If the body ended with its connection and nothing answers there any more: a
             crash ends it in the same way.
         """
         if not head.ends_with_connection:
             return
         address = placement.instance.address
-        try:
-            connection = await connect(
-                address, timeout_s=END_CHECK_TIMEOUT_S, clock=self.clock
-            )
-        except UpstreamNotListening as error:
-            raise UpstreamBroken(
-                "the answer has no length, and its upstream has ended"
-            ) from error
-        except UpstreamUnreachable:
-            # Cut off or slow; it closed the connection itself, so it had not crashed.
-            return
-        self.pool.release(address, connection, idle_s=None)
+        limit_s = max(0.0, min(END_CHECK_TIMEOUT_S, self._remaining_s(call)))
+        shown = await self.reach.check(address, timeout_s=limit_s)
+        if shown in (Reach.REFUSES, Reach.NO_ANSWER):
+            raise UpstreamBroken("the answer has no length, and its upstream has ended")
 
     def _report_started(self, call: Call, placement: Placement) -> None:
         work = self.view.loads.of(placement.instance.name).work.get(call.key)
--- a/src/endivelug/forwarding/node.py
+++ b/src/endivelug/forwarding/node.py
@@ -256,7 +256,7 @@
             wire=self.platform.wire,
             pool=self.pool,
             view=self.view,
-            pauses=self.pauses,
+            reach=self.reach,
             clock=self.clock,
             on_started=self.first_bytes.record,
             on_head=self.first_bytes.record_head,
--- a/tests/test_broken_off_answers.py
+++ b/tests/test_broken_off_answers.py
@@ -3,6 +3,7 @@
 import pytest
 
 from router_process import PROMPT, metrics_port, run_scenario
+from unanswered_connections import FullListener
 
 __all__ = ["metrics_port"]
 
@@ -118,3 +119,32 @@
         assert (response.status, response.complete) == (200, False)
 
     run_scenario(scenario)
+
+
+# Guards against the same where the connection that tells a crash from an end gets no
+# answer, which shows neither.
+def test_an_answer_without_a_length_whose_upstream_does_not_answer_is_broken_off():
+    async def scenario(system):
+        listeners = []
+
+        def make_script(upstream, content_type, data):
+            async def script(exchange):
+                await start_unframed(exchange, content_type=content_type)
+                await exchange.send(data)
+                listeners.append(FullListener(upstream))
+                close(exchange)
+
+            return script
+
+        for engine in system.engines:
+            engine.script = make_script(engine, "text/event-stream", EVENT)
+        for desk in system.desks:
+            desk.script = make_script(desk, "text/plain", b"hal")
+        response = await system.request("/a/orders/1")
+        assert response.status in (502, 504)
+        response = await system.request(headers={**PROMPT, "X-Request-Id": "q2"})
+        assert (response.status, response.complete) == (200, False)
+        for listener in listeners:
+            listener.close()
+
+    run_scenario(scenario)
