--- a/src/endivelug/forwarding/upstream_connection.py
+++ b/src/endivelug/forwarding/upstream_connection.py
@@ -14,12 +14,9 @@
 
 import h11
 
-from endivelug.exceptions import (
-    UpstreamBroken,
-    UpstreamNotListening,
-    UpstreamUnreachable,
-)
+from endivelug.exceptions import UpstreamBroken
 from endivelug.forwarding.buffers.memory_account import MemoryAccount
+from endivelug.forwarding.connect_errors import connect_error
 from endivelug.forwarding.response_parser import (
     BodyData,
     BodyEnd,
@@ -84,6 +81,8 @@
         Clock time after which an idle connection must not be reused.
     carried : set of int
         Hashes of the ids of the requests that it was given to carry.
+    is_new : bool
+        Whether it has not been idle yet, so that what arrives answers its request.
     account : MemoryAccount or None
         Charged for what is read from the upstream and not yet passed on.
     closed_by_peer : bool
@@ -103,6 +102,7 @@
         self.idle_until = float("inf")
         self.use = Use.CALLS
         self.carried: set[int] = set()
+        self.is_new = True
         self.closed = False
         self.closed_by_peer = False
         self.on_closed: Callable[[], None] | None = None
@@ -127,9 +127,7 @@
         """Complete or fail the response in progress."""
         aborted = self.closed
         # A peer that acknowledges nothing is a time-out and no connection error.
-        self.closed_by_peer = not aborted and (
-            exc is None or isinstance(exc, ConnectionError)
-        )
+        self.closed_by_peer = not aborted and isinstance(exc, ConnectionError | None)
         self.closed = self._lost = True
         if self._parser is not None and aborted:
             self._fail(_LOST)
@@ -374,10 +372,8 @@
 
     Raises
     ------
-    UpstreamNotListening
-        If nothing listens at the address; nothing was sent.
     UpstreamUnreachable
-        If no connection was made in time; nothing was sent.
+        If no connection was made in time; nothing was sent. See ``connect_error``.
     """
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
@@ -386,12 +382,6 @@
             _, connection = await loop.create_connection(
                 lambda: UpstreamConnection(clock=clock), host, int(port)
             )
-    except ConnectionRefusedError as error:
-        raise UpstreamNotListening(
-            f"no connection to {address} ({error}); use another upstream"
-        ) from error
     except (OSError, TimeoutError, ValueError, OverflowError) as error:
-        raise UpstreamUnreachable(
-            f"no connection to {address} ({error or 'timeout'}); use another upstream"
-        ) from error
+        raise connect_error(address, error) from error
     return connection
