Take from the retry budget only what no other VM takes at the same time

Callers and upstreams saw: more retries of all VMs together than the stated limit, when many VMs retry at the same moment. Cause: all VMs see the same unused budget until their reports cross, and each could use nearly all of it: the division by two was done anew after each retry. The reserve of three tenths covers this only while few VMs retry. Ruled out: a smaller reserve; it would have to grow with the number of VMs. Change: three tenths of the budget are fixed shares. From the rest a VM takes an equal part of what is unused, once in 0.8 s, and reports the part as taken. VMs that take at the same moment take no more than all, and none takes again before the reports have crossed. Nineteen twentieths of the limit are used, seven tenths before. Tests: the peers' unused shares are now used within the window instead of at one moment, since that moment was the fault; the bound is twice the former one. A removed peer is checked against its report, since fixed shares no longer depend on it.

--- a/src/endivelug/forwarding/retry_budget.py
+++ b/src/endivelug/forwarding/retry_budget.py
@@ -1,56 +1,35 @@
 """Retry budget that all VMs share.
 
 Load pattern: an upstream that refuses or loses many requests makes every VM retry at
-the same time. The retries of all VMs together are bounded over a sliding window. Each
-VM may use its own share of the budget and, within a tenth of a second, a part of what
-its peers report as unused.
+the same time. The retries of all VMs together are bounded over a sliding window.
+
+Each VM uses its own part of the budget without asking: a share of the retries that its
+own requests allow, and of the slack. The rest is a pool (``retry_pool``), from which a
+VM takes only while it knows what the others have taken.
 """
 
-from collections import deque
+import math
 from dataclasses import dataclass, field
 
 from endivelug.forwarding.neighbour_sums import NeighbourSums, RetryCount
+from endivelug.forwarding.retry_pool import PoolGrants
+from endivelug.forwarding.window_count import WindowCount
 
-# Share of the budget that is used; the rest covers retries that peers have not
-# reported yet.
-USABLE_SHARE = 0.7
-# The unused budget is divided by the larger of this and the number of VMs over
-# VMS_PER_DIVISOR. All VMs see the same unused budget at the same time, but few need it.
-MIN_UNUSED_DIVISOR = 2
-VMS_PER_DIVISOR = 4
-
-
-@dataclass(slots=True, kw_only=True)
-class WindowCount:
-    """Count of events within a sliding window.
-
-    Examples
-    --------
-    >>> count = WindowCount(window_s=10.0)
-    >>> count.add(now=0.0); count.add(now=5.0)
-    >>> count.total(now=9.0), count.total(now=12.0)
-    (2, 1)
-    """
-
-    window_s: float
-    events: deque[tuple[float, int]] = field(default_factory=deque)
-    sum: int = 0
-
-    def add(self, *, now: float, count: int = 1) -> None:
-        """Add events at a time."""
-        self.events.append((now, count))
-        self.sum += count
-
-    def total(self, *, now: float) -> int:
-        """Drop expired events and return the number within the window."""
-        while self.events and self.events[0][0] <= now - self.window_s:
-            self.sum -= self.events.popleft()[1]
-        return self.sum
+# Part of the budget that is used. Requests are counted up to now, and the rule counts
+# them in windows that end later, which differ by the noise of the arrivals.
+USABLE_SHARE = 0.95
+# Part of it that VMs use without asking; the rest is the pool.
+OWN_PART = 0.3
+# From this number of VMs, an equal part of the pool of a service with few requests is
+# less than one retry, and few VMs need one at the same moment. Each may then take one
+# while at least half of the pool is unused.
+MANY_VMS = 32
+ROUNDING_ERROR = 1e-9
 
 
 @dataclass(slots=True, kw_only=True)
 class RetryReport:
-    """Requests and retries of one or several VMs to one service in the window."""
+    """Requests of one or several VMs, and what they claim of the pool."""
 
     service: str
     requests: int
@@ -61,6 +40,7 @@
 class _Counts:
     requests: WindowCount
     retries: WindowCount
+    pool: PoolGrants
 
 
 @dataclass(slots=True, kw_only=True)
@@ -74,8 +54,7 @@
     slack : float
         Retries allowed beyond that, for all VMs together.
     vms : int
-        Number of VMs that share the budget. Each VM that does not report is assumed to
-        use an equal share of the slack.
+        Number of VMs that may be using the budget, reporting or not.
     counts : dict of str to _Counts
         Requests and retries of this VM by service.
     neighbours : NeighbourSums of RetryCount
@@ -99,37 +78,18 @@
         self._counts_of(service).requests.add(now=now)
 
     def try_acquire(self, service: str, *, now: float) -> bool:
-        """Use one retry; return False if the budget is exhausted."""
+        """Use one retry; return False if none is allowed."""
         counts = self._counts_of(service)
-        if self.used(service, now=now) + 1 > self.allowed(service, now=now):
-            return False
+        allowed = self._own_share(counts, now=now) + counts.pool.used.total(now=now)
+        from_pool = max(0.0, counts.retries.total(now=now) + 1 - allowed)
+        if from_pool > ROUNDING_ERROR:
+            self._take_from_pool(service, counts, now=now)
+            if counts.pool.available(now=now) + ROUNDING_ERROR < from_pool:
+                return False
+            counts.pool.use(from_pool, now=now)
         counts.retries.add(now=now)
         return True
 
-    def used(self, service: str, *, now: float) -> float:
-        """Return the number of retries by this VM in the window."""
-        return self._counts_of(service).retries.total(now=now)
-
-    def allowed(self, service: str, *, now: float) -> float:
-        """Return how many retries this VM may send in the window.
-
-        The budget that reporting peers leave unused is divided among all VMs. An equal
-        share of the slack stays reserved for each VM that does not report.
-        """
-        own = self._counts_of(service).requests.total(now=now)
-        others = self.neighbours.total(service)
-        total = USABLE_SHARE * (self.ratio * (own + others.requests) + self.slack)
-        vms = max(1, self.vms)
-        share = USABLE_SHARE * (self.ratio * own + self.slack / vms)
-        if not self.represented_vms:
-            return share
-        silent = max(0, vms - 1 - sum(self.represented_vms.values()))
-        left = total - others.retries - silent * USABLE_SHARE * self.slack / vms
-        used = self.used(service, now=now)
-        divisor = max(MIN_UNUSED_DIVISOR, vms / VMS_PER_DIVISOR)
-        allowance = used + (left - used) / divisor if left > used else 0.0
-        return max(min(share, left), allowance)
-
     def requests_per_s(self, service: str, *, now: float) -> float:
         """Return the rate of the requests of all VMs in the window."""
         own = self._counts_of(service).requests.total(now=now)
@@ -142,11 +102,11 @@
         return own / (own + max(0, self.neighbours.total(service).requests))
 
     def own(self, service: str, *, now: float) -> RetryCount:
-        """Return the counts of this VM."""
+        """Return the requests of this VM, and what it claims of the pool."""
         counts = self._counts_of(service)
         return RetryCount(
-            requests=counts.requests.total(now=now),
-            retries=counts.retries.total(now=now),
+            requests=int(counts.requests.total(now=now)),
+            retries=math.ceil(counts.pool.claimed(now=now) - ROUNDING_ERROR),
         )
 
     def forget(self, vm: str) -> None:
@@ -154,12 +114,48 @@
         self.neighbours.drop(vm)
         self.represented_vms.pop(vm, None)
 
+    def _own_share(self, counts: _Counts, *, now: float) -> float:
+        """Return how many retries this VM may send in the window without asking."""
+        return OWN_PART * self._equal_share(counts, now=now)
+
+    def _equal_share(self, counts: _Counts, *, now: float) -> float:
+        """Return what the requests of this VM and its share of the slack allow."""
+        slack = self.slack / self._known_vms()
+        return USABLE_SHARE * (self.ratio * counts.requests.total(now=now) + slack)
+
+    def _known_vms(self) -> int:
+        return max(self.vms, 1 + sum(self.represented_vms.values()))
+
+    def _pool(self, service: str, *, now: float) -> float:
+        """Return the pool of this VM and those that report to it."""
+        own = self._counts_of(service).requests.total(now=now)
+        requests = own + self.neighbours.total(service).requests
+        reporting = 1 + sum(self.represented_vms.values())
+        slack = self.slack * reporting / self._known_vms()
+        return (1 - OWN_PART) * USABLE_SHARE * (self.ratio * requests + slack)
+
+    def _take_from_pool(self, service: str, counts: _Counts, *, now: float) -> None:
+        """Take an equal part of what is unused in the pool, if that is known."""
+        if not counts.pool.may_take(now=now):
+            return
+        pool = self._pool(service, now=now)
+        claimed = self.neighbours.total(service).retries
+        used = counts.pool.used.total(now=now)
+        left = pool - claimed - used
+        reporting = 1 + sum(self.represented_vms.values())
+        part = left / reporting
+        if reporting >= MANY_VMS and left >= max(1.0, pool / 2):
+            part = max(1.0, part)
+        if part > 0:
+            counts.pool.take(part, now=now)
+
     def _counts_of(self, service: str) -> _Counts:
         counts = self.counts.get(service)
         if counts is None:
             counts = _Counts(
                 requests=WindowCount(window_s=self.window_s),
                 retries=WindowCount(window_s=self.window_s),
+                pool=PoolGrants(used=WindowCount(window_s=self.window_s)),
             )
             self.counts[service] = counts
         return counts
