Count the retries of a VM that has ended until the window has passed

Upstreams saw: more retries than the stated limit, when VMs were killed and started again while an upstream failed. Cause: a process that starts had an empty window, and until its links were up it took itself for the only VM; its peers removed what the former process had used as soon as its link closed. Change: a process sends no retries until the window has passed since its start; attempts that reached no upstream stay free. A neighbour's part of the pool is kept for as long after its link has closed, with one part that it may not have reported. Tests: a removed peer used to count no longer at once, which was the fault; it must now count until the window has passed, and no longer.

--- a/src/endivelug/forwarding/node.py
+++ b/src/endivelug/forwarding/node.py
@@ -305,6 +305,7 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         self._listen()
         self.log("started", data_centre=self.settings.data_centre)
+        self.budget.assume_predecessor(now=self.clock())
         for job in (
             self.sync.run,
             self.join.run,
--- a/src/endivelug/forwarding/peers.py
+++ b/src/endivelug/forwarding/peers.py
@@ -334,7 +334,7 @@
             return
         del self.neighbours[vm]
         del self.links[vm]
-        self.budget.forget(vm)
+        self.budget.forget(vm, now=self.clock())
         self.rows.forget(vm)
         # Its requests are counted until it may have linked again.
         self._departed[vm] = self.clock() + AMOUNTS_KEPT_S
--- a/src/endivelug/forwarding/retry_budget.py
+++ b/src/endivelug/forwarding/retry_budget.py
@@ -1,7 +1,8 @@
 """Retry budget that all VMs share.
 
 Load pattern: an upstream that refuses or loses many requests makes every VM retry at
-the same time. The retries of all VMs together are bounded over a sliding window.
+the same time. The retries of all VMs together are bounded over a sliding window, also
+while VMs start, pause, or do not hear of each other.
 
 Each VM uses its own part of the budget without asking: a share of the retries that its
 own requests allow, and of the slack. The rest is a pool (``retry_pool``), from which a
@@ -41,6 +42,7 @@
     requests: WindowCount
     retries: WindowCount
     pool: PoolGrants
+    departed: WindowCount
 
 
 @dataclass(slots=True, kw_only=True)
@@ -55,6 +57,8 @@
         Retries allowed beyond that, for all VMs together.
     vms : int
         Number of VMs that may be using the budget, reporting or not.
+    cautious_until : float
+        Until then the VM sends no retries.
     counts : dict of str to _Counts
         Requests and retries of this VM by service.
     neighbours : NeighbourSums of RetryCount
@@ -67,6 +71,7 @@
     slack: float
     window_s: float
     vms: int = 1
+    cautious_until: float = float("-inf")
     counts: dict[str, _Counts] = field(default_factory=dict)
     neighbours: NeighbourSums[RetryCount] = field(
         default_factory=lambda: NeighbourSums(zero=RetryCount())
@@ -79,6 +84,8 @@
 
     def try_acquire(self, service: str, *, now: float) -> bool:
         """Use one retry; return False if none is allowed."""
+        if now < self.cautious_until:
+            return False
         counts = self._counts_of(service)
         allowed = self._own_share(counts, now=now) + counts.pool.used.total(now=now)
         from_pool = max(0.0, counts.retries.total(now=now) + 1 - allowed)
@@ -109,8 +116,26 @@
             retries=math.ceil(counts.pool.claimed(now=now) - ROUNDING_ERROR),
         )
 
-    def forget(self, vm: str) -> None:
-        """Remove the counts of a neighbour that is no longer linked."""
+    def assume_predecessor(self, *, now: float) -> None:
+        """Send no retries while those of a former process of this VM may count.
+
+        It may have used its whole share, and taken from the pool without a report.
+        """
+        self.cautious_until = now + self.window_s
+
+    def forget(self, vm: str, *, now: float) -> None:
+        """Remove the counts of a neighbour that is no longer linked.
+
+        What the VMs that it reported for have taken from the pool counts until the
+        window has passed, with a part that they may have taken without a report.
+        """
+        represented = self.represented_vms.get(vm, 1)
+        amounts = self.neighbours.amounts.get(vm, {})
+        for service, count in amounts.items():
+            counts = self._counts_of(service)
+            reporting = 1 + sum(self.represented_vms.values())
+            unreported = represented * self._pool(service, now=now) / reporting
+            counts.departed.add(now=now, count=count.retries + unreported)
         self.neighbours.drop(vm)
         self.represented_vms.pop(vm, None)
 
@@ -140,8 +165,9 @@
             return
         pool = self._pool(service, now=now)
         claimed = self.neighbours.total(service).retries
+        departed = counts.departed.total(now=now)
         used = counts.pool.used.total(now=now)
-        left = pool - claimed - used
+        left = pool - claimed - departed - used
         reporting = 1 + sum(self.represented_vms.values())
         part = left / reporting
         if reporting >= MANY_VMS and left >= max(1.0, pool / 2):
@@ -156,6 +182,7 @@
                 requests=WindowCount(window_s=self.window_s),
                 retries=WindowCount(window_s=self.window_s),
                 pool=PoolGrants(used=WindowCount(window_s=self.window_s)),
+                departed=WindowCount(window_s=self.window_s),
             )
             self.counts[service] = counts
         return counts
