Take from the retry budget only while the reports of all neighbours are current

Upstreams saw: more retries than the stated limit, when VMs were paused or cut off from each other while an upstream failed. Cause: a VM decided with what its peers had reported before a pause, or before their messages stopped to arrive; VMs that could not hear each other, although others could hear both, used the same unused budget; and a VM whose links were not up took itself for the only one. Change: a part of the pool is taken only while every neighbour was heard within 0.75 s and has sent all amounts, and not within 0.75 s of a pause of the process. While registered VMs do not report, a VM uses at most its equal share of the whole budget. The number of VMs is at least that of the registered ones, and before their list was read no retries are sent. A link that opens anew no longer replaces what the former process has used. Open: members of a relay are not told that it has not heard of another relay.

--- a/src/endivelug/forwarding/node.py
+++ b/src/endivelug/forwarding/node.py
@@ -39,6 +39,7 @@
 from endivelug.forwarding.quotas.quota_gate import make_quota_gate
 from endivelug.forwarding.refused_callers import RefusedCallers
 from endivelug.forwarding.retry_budget import SharedRetryBudget
+from endivelug.forwarding.retry_budget_watch import make_retry_budget_watch
 from endivelug.forwarding.silence_watch import SilenceWatch
 from endivelug.forwarding.state_sync import StateSync
 from endivelug.forwarding.status_pages import StatusPages
@@ -312,6 +313,7 @@
             self.join.refresh,
             self.dispatcher.run,
             self.quotas.run,
+            make_retry_budget_watch(self.peers).run,
             self.orders.run,
             self.lease_keeper.run,
             self._sweep,
@@ -340,8 +342,6 @@
             await asyncio.sleep(SWEEP_S)
             self.pool.close_expired()
             self.view.forget_idle_loads()
-            # A VM that is partitioned from this one still spends its share.
-            self.budget.vms = self.peers.max_vms
             self.placer.fleet.vms = self.peers.vms
 
     def _is_candidate(self) -> bool:
--- a/src/endivelug/forwarding/peers.py
+++ b/src/endivelug/forwarding/peers.py
@@ -94,7 +94,6 @@
             clock=clock,
             log=log,
         )
-        self.max_vms = 1
         self.shared = SharedAmountTable()
         self.builder = ReportBuilder(
             view=view,
@@ -257,7 +256,6 @@
         self.overlay.update_relays(relays, now=now)
         self._apply_role_change(was_relay)
         self._update_targets()
-        self.max_vms = max(self.max_vms, self.vms)
 
     def _check_role_soon(self) -> None:
         self._roles_checked_at = float("-inf")
@@ -318,6 +316,8 @@
 
     def _on_link_open(self, link: Link) -> None:
         vm = link.peer.vm
+        # A process before this one may have ended, and its link close later.
+        self.budget.forget(vm, now=self.clock())
         if vm not in self.neighbours:
             self.log("dependency-regained", dependency=f"peer/{vm}")
         self.neighbours[vm] = Neighbour(last_received_at=self.clock())
--- a/src/endivelug/forwarding/retry_budget.py
+++ b/src/endivelug/forwarding/retry_budget.py
@@ -10,6 +10,7 @@
 """
 
 import math
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from endivelug.forwarding.neighbour_sums import NeighbourSums, RetryCount
@@ -59,6 +60,8 @@
         Number of VMs that may be using the budget, reporting or not.
     cautious_until : float
         Until then the VM sends no retries.
+    reports_current : callable
+        Whether this VM knows what the VMs that report to it have taken from the pool.
     counts : dict of str to _Counts
         Requests and retries of this VM by service.
     neighbours : NeighbourSums of RetryCount
@@ -72,6 +75,7 @@
     window_s: float
     vms: int = 1
     cautious_until: float = float("-inf")
+    reports_current: Callable[[], bool] = lambda: True
     counts: dict[str, _Counts] = field(default_factory=dict)
     neighbours: NeighbourSums[RetryCount] = field(
         default_factory=lambda: NeighbourSums(zero=RetryCount())
@@ -161,7 +165,7 @@
 
     def _take_from_pool(self, service: str, counts: _Counts, *, now: float) -> None:
         """Take an equal part of what is unused in the pool, if that is known."""
-        if not counts.pool.may_take(now=now):
+        if not (counts.pool.may_take(now=now) and self.reports_current()):
             return
         pool = self._pool(service, now=now)
         claimed = self.neighbours.total(service).retries
@@ -172,9 +176,20 @@
         part = left / reporting
         if reporting >= MANY_VMS and left >= max(1.0, pool / 2):
             part = max(1.0, part)
+        if reporting < self._known_vms():
+            part = min(part, self._largest_cut_off(counts, now=now) - used)
         if part > 0:
             counts.pool.take(part, now=now)
 
+    def _largest_cut_off(self, counts: _Counts, *, now: float) -> float:
+        """Return what this VM may use of the pool while VMs do not report to it.
+
+        They may know of each other but not of this VM, so each keeps to the part that
+        its own requests and its share of the slack add to the pool.
+        """
+        part = (1 - OWN_PART) * self._equal_share(counts, now=now)
+        return max(1.0, part) if self._known_vms() >= MANY_VMS else part
+
     def _counts_of(self, service: str) -> _Counts:
         counts = self.counts.get(service)
         if counts is None:
--- a/src/endivelug/forwarding/retry_pool.py
+++ b/src/endivelug/forwarding/retry_pool.py
@@ -10,7 +10,8 @@
 from endivelug.forwarding.window_count import WindowCount
 
 # A VM takes from the pool once in this time; what it has not used by then goes back.
-# This is about three times the age of a report that has passed two relays.
+# This is about three times the age of a report that has passed two relays, and more
+# than the silence after which VMs no longer take (``retry_budget_watch.CURRENT_S``).
 GRANT_S = 0.8
 
 
--- a/tests/retry_vms.py
+++ b/tests/retry_vms.py
@@ -3,10 +3,12 @@
 import random
 from collections import Counter
 from dataclasses import dataclass, field
+from itertools import combinations
 
 from endivelug.forwarding.neighbour import Neighbour
 from endivelug.forwarding.peers import SILENT_S
 from endivelug.forwarding.retry_budget import SharedRetryBudget
+from endivelug.forwarding.retry_budget_watch import RetryBudgetWatch
 
 SERVICE = "s"
 RATIO = 0.2
@@ -30,9 +32,11 @@
     name: str
     registered: int
     clock: "SimulatedVms"
+    paused_until: float = 0.0
     up_at: float = 0.0
     neighbours: dict[str, Neighbour] = field(default_factory=dict)
     budget: SharedRetryBudget = field(init=False)
+    watch: RetryBudgetWatch = field(init=False)
 
     def __post_init__(self):
         self.start()
@@ -42,10 +46,18 @@
         self.neighbours = {}
         self.budget = make_budget()
         self.budget.assume_predecessor(now=now)
+        self.watch = RetryBudgetWatch(
+            budget=self.budget,
+            neighbours=self.neighbours,
+            count_vms=lambda: 1 + len(self.neighbours),
+            count_registered=lambda: self.registered,
+            clock=lambda: self.clock.now,
+        )
+        self.budget.reports_current = self.watch.is_current
 
     @property
     def runs(self):
-        return self.up_at <= self.clock.now
+        return self.up_at <= self.clock.now and self.paused_until <= self.clock.now
 
     def hear(self, name, count):
         neighbour = self.neighbours.setdefault(name, Neighbour(last_received_at=0.0))
@@ -64,6 +76,8 @@
 
     Attributes
     ----------
+    cut : set of frozenset of str
+        Pairs of VMs whose messages are lost.
     report_age_s : float
         Longest time from the sending of a report to its use.
     requests, retries : list of float
@@ -74,6 +88,7 @@
         self.rng = random.Random(seed)
         self.now = 0.0
         self.report_age_s = report_age_s
+        self.cut = set()
         self.requests = []
         self.retries = []
         self.retries_by_vm = Counter()
@@ -95,7 +110,7 @@
                 if self.now - item.last_received_at > SILENT_S:
                     vm.unlink(name)
                     self._vm(name).unlink(vm.name)
-            vm.budget.vms = max(vm.budget.vms, 1 + len(vm.neighbours))
+            vm.watch.check(now=self.now)
             if self.report_at.get(vm.name, 0.0) <= self.now:
                 self.report_at[vm.name] = self.now + REPORT_S
                 self._report(vm)
@@ -119,7 +134,7 @@
             self.step()
             for vm in self.rng.sample(self.vms, len(self.vms)):
                 if vm.runs:
-                    self._serve(vm, per_s, demand(vm))
+                    self.serve(vm, per_s=per_s, demand=demand(vm))
 
     def kill(self, vm):
         """End a process; its links close at once, and it starts again."""
@@ -129,6 +144,20 @@
         vm.up_at = self.now + START_S
         vm.start()
 
+    def pause(self, vm, seconds):
+        """Stop a process for a while, with what it knows."""
+        vm.paused_until = self.now + seconds
+
+    def cut_link(self, one, other):
+        """Lose all messages between two VMs."""
+        self.cut.add(frozenset((one.name, other.name)))
+
+    def cut_where(self, is_cut):
+        """Lose the messages between each two VMs whose numbers fulfil a condition."""
+        for (one, vm), (other, peer) in combinations(enumerate(self.vms), 2):
+            if is_cut(one, other):
+                self.cut_link(vm, peer)
+
     def excess(self):
         """Return the greatest excess over the stated limit, in any window.
 
@@ -146,7 +175,8 @@
         )
         return _within(self.retries, end) - RATIO * requests - SLACK
 
-    def _serve(self, vm, per_s, demand):
+    def serve(self, vm, *, per_s, demand):
+        """Let a VM serve requests of one step, and try to send retries."""
         for _ in range(int(per_s * STEP_S + self.rng.random())):
             vm.budget.record_request(SERVICE, now=self.now)
             self.requests.append(self.now)
@@ -167,7 +197,7 @@
         for item in due:
             _, source, name, count = item
             vm = self._vm(name)
-            if vm.up_at > self.now:
+            if frozenset((source, name)) in self.cut or vm.up_at > self.now:
                 self.in_flight.remove(item)
             elif vm.runs:
                 self.in_flight.remove(item)
