--- a/src/endivelug/forwarding/node.py
+++ b/src/endivelug/forwarding/node.py
@@ -41,6 +41,7 @@
 from endivelug.forwarding.quotas.quota_gate import make_quota_gate
 from endivelug.forwarding.refused_callers import RefusedCallers
 from endivelug.forwarding.retry_budget import SharedRetryBudget
+from endivelug.forwarding.retry_budget_watch import make_retry_budget_watch
 from endivelug.forwarding.silence_watch import SilenceWatch
 from endivelug.forwarding.state_sync import StateSync
 from endivelug.forwarding.status_pages import StatusPages
@@ -310,12 +311,14 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         self._listen()
         self.log("started", data_centre=self.settings.data_centre)
+        self.budget.assume_predecessor(now=self.clock())
         for job in (
             self.sync.run,
             self.join.run,
             self.join.refresh,
             self.dispatcher.run,
             self.quotas.run,
+            make_retry_budget_watch(self.peers).run,
             self.orders.run,
             self.lease_keeper.run,
             self._sweep,
@@ -344,8 +347,6 @@
             await asyncio.sleep(SWEEP_S)
             self.pool.close_expired()
             self.view.forget_idle_loads()
-            # A VM that is partitioned from this one still spends its share.
-            self.budget.vms = self.peers.max_vms
             self.placer.fleet.vms = self.peers.vms
 
     def _is_candidate(self) -> bool:
