--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -8,14 +8,17 @@
 import sys
 import tempfile
 import time
-from dataclasses import dataclass
+from collections import Counter
+from dataclasses import asdict, dataclass
 from pathlib import Path
 
+from .courses import courses_of
 from .faults import Faults
 from .promises import GuaranteeChecker
+from .retry_rule import SERVICES, RetryRule
 from .world import ISOLATED, ORGANISATIONS, QUOTAS, running_environment
 
-CALLERS = 12
+CALLERS = 32
 # Time without faults before the first fault and after the last one.
 FAULT_FREE_S = 6.0
 MEAN_FAULT_INTERVAL_S = 1.5
@@ -30,6 +33,8 @@
     served: int
     faults: list[tuple[float, str]]
     violations: list[str]
+    courses: dict[str, list[str]]
+    budget_shares: dict[str, float]
     unexpected_exits: list[str]
 
     @property
@@ -53,6 +58,11 @@
         await faults.run(end, mean_interval_s=MEAN_FAULT_INTERVAL_S)
         await asyncio.gather(*callers)
         await asyncio.sleep(1.0)
+        rule = RetryRule(
+            ratio=environment.bounds["retryBudgetRatio"],
+            slack=environment.bounds["retrySlack"],
+            window_s=environment.bounds["budgetWindowS"],
+        )
         checker = GuaranteeChecker(
             outcomes=environment.callers.outcomes,
             record=environment.record,
@@ -60,14 +70,24 @@
             key_periods=environment.key_periods,
             organisations=ORGANISATIONS,
             isolated=ISOLATED,
+            routers=environment.router_names(),
+            retry_rule=rule,
             quotas=QUOTAS,
         )
+        violations = checker.violations()
         return SoakResult(
             seed=seed,
             requests=len(environment.callers.outcomes),
             served=sum(1 for item in environment.callers.outcomes if item.served),
-            faults=faults.log,
-            violations=checker.violations(),
+            faults=faults.log.lines,
+            violations=violations,
+            courses=courses_of(violations, environment, folder),
+            budget_shares={
+                service: rule.worst_share(
+                    service, environment.record.arrivals, environment.callers.outcomes
+                )
+                for service in SERVICES
+            },
             unexpected_exits=[
                 f"{router.name} exited with {code}"
                 for router in environment.routers
@@ -87,6 +107,8 @@
     options = parser.parse_args()
     # Tornado logs each request that the store stand-in refuses as a fault.
     logging.getLogger("tornado").setLevel(logging.CRITICAL)
+    # Upstreams that go on with a request write to closed connections.
+    logging.getLogger("asyncio").setLevel(logging.ERROR)
     first = options.seed if options.seed is not None else int(time.time()) % 1_000_000
     failed = False
     for seed in range(first, first + options.seeds):
@@ -100,6 +122,7 @@
             )
         )
         failed = failed or not result.passed
+        (folder / "result.json").write_text(json.dumps(asdict(result), indent=1))
         print(
             json.dumps(
                 {
@@ -108,7 +131,12 @@
                     "requests": result.requests,
                     "served": result.served,
                     "faults": len(result.faults),
+                    "kinds": Counter(
+                        line.partition(":")[0].split(" 0.")[0]
+                        for line in result.violations
+                    ),
                     "violations": result.violations[:10],
+                    "budget_shares": result.budget_shares,
                     "unexpected_exits": result.unexpected_exits,
                     "logs": str(folder),
                 }
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -10,14 +10,25 @@
 
 from .routers import Router
 
-KINDS = ("review", "order", "look")
-TARGETS = {"review": "/a/x", "order": "/a/orders/x", "look": "/look/x"}
-DEADLINE_S = {"review": 6.0, "order": 1.0, "look": 1.0}
+# Kinds of requests: "review" is a stream that may be resumed and "short" one that must
+# run once; "order" must run once and "look" may run again.
+KINDS = ("review", "short", "order", "look")
+# Most requests may run again, so that routers need their retry budget.
+KIND_WEIGHTS = (2, 2, 2, 5)
+STREAM_KINDS = ("review", "short")
+ONCE_KINDS = ("short", "order")
+TARGETS = {
+    "review": "/a/x",
+    "short": "/short/x",
+    "order": "/a/orders/x",
+    "look": "/look/x",
+}
+DEADLINE_S = {"review": 6.0, "short": 6.0, "order": 1.0, "look": 1.0}
 CONNECT_TIMEOUT_S = 1.0
 PROBE_INTERVAL_S = 0.5
 # Requests on one connection before the caller opens a new one.
 MAX_REQUESTS_PER_CONNECTION = 20
-MEAN_PAUSE_S = 0.08
+MEAN_PAUSE_S = 0.05
 
 
 @dataclass(slots=True, kw_only=True)
@@ -115,9 +126,10 @@
         failed_probes = 0 if ready else self.failed_probes.get(router.name, 2) + 1
         self.failed_probes[router.name] = failed_probes
         router.ready = failed_probes < 2
+        router.was_ready = router.was_ready or ready
 
     async def _send_request(self, connection: _Connection | None) -> _Connection | None:
-        kind = self.rng.choice(KINDS)
+        (kind,) = self.rng.choices(KINDS, KIND_WEIGHTS)
         ready = [router for router in self.routers if router.ready] or self.routers
         router = connection.router if connection else self.rng.choice(ready)
         outcome = Outcome(
@@ -202,7 +214,7 @@
         ("X-Deadline-Ms", str(int(1000 * DEADLINE_S[outcome.kind]))),
         ("X-Credential", outcome.key),
     ]
-    if outcome.kind == "review":
+    if outcome.kind in STREAM_KINDS:
         segments = f"aa:1200,{outcome.request[:8]}:300"
         headers += [
             ("X-Model", "m"),
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -5,13 +5,14 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from .callers import Outcome
-from .upstreams import EVENTS, Run, UpstreamRecord
+from .answering import FAILURE_BODY
+from .callers import ONCE_KINDS, STREAM_KINDS, TARGETS, Outcome
+from .retry_rule import RetryRule
+from .runs import Run, UpstreamRecord
+from .single_runs import overlapping_runs, repeated_runs
+from .upstreams import STREAMS
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
-RETRY_RATIO = 0.2
-RETRY_SLACK = 52
-WINDOW_S = 10.0
 # Time until a new configuration is in force, and tolerance for a busy test machine.
 APPLY_S = 2.0
 MACHINE_SLACK_S = 0.5
@@ -91,6 +92,8 @@
     key_periods: list[KeyPeriod]
     organisations: dict[str, str]
     isolated: set[str]
+    routers: list[str]
+    retry_rule: RetryRule
     quotas: dict[str, RequestQuota] = field(default_factory=dict)
 
     def violations(self) -> list[str]:
@@ -111,12 +114,16 @@
             f"key passed on: {name}" for name in self.record.requests_with_key
         ]
         violations += [
-            f"sent to a leaving upstream: {name}" for name in self.record.late_requests
+            f"sent to a leaving upstream: {late}"
+            for late in self.record.late_requests
+            if self.disturbances.none_during(
+                (f"path to {late.upstream}", *self.routers), late.at, late.at
+            )
         ]
         return (
             violations
             + self._check_namespaces()
-            + self._check_retry_budget()
+            + self.retry_rule.violations(self.record.arrivals, self.outcomes)
             + self._check_quotas()
             + self._check_availability()
         )
@@ -124,27 +131,32 @@
     def _check_response(self, outcome: Outcome) -> list[str]:
         if outcome.status != 200:
             return []
-        if outcome.kind != "review":
+        if outcome.kind not in STREAM_KINDS:
             whole = outcome.body == outcome.request.encode()
             return [] if whole or not outcome.complete else [f"mixed: {outcome}"]
+        count, _ = STREAMS[TARGETS[outcome.kind].split("/")[1]]
         events = outcome.body.decode().split("\n\n")[:-1]
         expected = [
             f"id: {number}\ndata: {outcome.request}-{number}"
-            for number in range(1, EVENTS + 1)
+            for number in range(1, count + 1)
         ]
         if events != expected[: len(events)]:
             return [f"order of events: {outcome.request} {events}"]
-        if outcome.complete and len(events) < EVENTS:
+        if outcome.complete and len(events) < count:
             return [f"incomplete stream looks complete: {outcome.request}"]
         return []
 
     def _check_runs(self, outcome: Outcome, runs: list[Run]) -> list[str]:
         violations = []
-        if outcome.kind == "order" and len(runs) > 1:
-            violations.append(f"ran twice: {outcome.request} {runs}")
+        if outcome.kind in ONCE_KINDS:
+            violations += repeated_runs(runs) + overlapping_runs(runs)
         if outcome.kind == "look" and len(runs) > 2:
             violations.append(f"more attempts than allowed: {outcome.request}")
-        if outcome.status in NOT_RUN_STATUSES and outcome.kind == "order" and runs:
+        if outcome.status in NOT_RUN_STATUSES and outcome.body == FAILURE_BODY:
+            violations.append(f"promise of an upstream that ran it: {outcome}")
+            return violations
+        once = outcome.kind in ONCE_KINDS
+        if outcome.status in NOT_RUN_STATUSES and once and runs:
             violations.append(f"refused as not run, but ran: {outcome}")
         organisation = self.organisations.get(outcome.key)
         if outcome.status == 429 and runs:
@@ -207,30 +219,6 @@
         ]
         return violations
 
-    def _check_retry_budget(self) -> list[str]:
-        violations = []
-        requested = sorted((item.sent_at, item.kind) for item in self.outcomes)
-        for service, kinds in (("engines", {"review"}), ("desk", {"order", "look"})):
-            arrivals = [item for item in self.record.arrivals if item[1] == service]
-            seen_requests: set[str] = set()
-            retry_times = []
-            for at, _, request in arrivals:
-                if request in seen_requests:
-                    retry_times.append(at)
-                seen_requests.add(request)
-            for begin in retry_times:
-                end = begin + WINDOW_S
-                retries = sum(1 for at in retry_times if begin <= at < end)
-                requests = sum(
-                    1 for at, kind in requested if begin <= at < end and kind in kinds
-                )
-                if retries > RETRY_RATIO * requests + RETRY_SLACK:
-                    violations.append(
-                        f"retry budget: {service} {retries} of {requests}"
-                    )
-                    break
-        return violations
-
     def _check_quotas(self) -> list[str]:
         violations = []
         for organisation, quota in self.quotas.items():
--- a/tests/soak/routers.py
+++ b/tests/soak/routers.py
@@ -6,16 +6,15 @@
 import os
 import signal
 import sys
-import time
 from pathlib import Path
 from typing import Any
 
 RESTART_DELAY_S = 0.3
 GRACE_S = 8.0
 FIRST_PORT = 7340
-# Time until the program's own code runs. Signals that arrive earlier have their default
-# actions, so exit codes within this time are not recorded.
-INTERPRETER_START_S = 0.2
+# Exit codes of a process that gets SIGTERM or SIGHUP before its own code runs, when
+# these have their default actions.
+SIGNALLED_AT_START = (-signal.SIGTERM, -signal.SIGHUP)
 
 BOUNDS = {
     "drainMs": 2000,
@@ -43,24 +42,33 @@
         Whether the load balancer sends new connections; it sets this after a probe.
     stopping : bool
         Whether a planned stop is in progress.
+    was_ready : bool
+        Whether the running process has been ready.
     exit_codes : list of int
-        Exit codes of the processes that have ended after loading.
+        Exit codes of the processes that have ended, except by a signal at their start.
     """
 
     def __init__(
-        self, *, number: int, data_centre: str, store: str, folder: Path
+        self,
+        *,
+        number: int,
+        data_centre: str,
+        store: str,
+        folder: Path,
+        bounds: dict[str, Any],
     ) -> None:
         self.name = f"vm{number}"
         self.data_centre = data_centre
         self.ip = f"127.77.{os.getpid() % 200}.{number + 1}"
         self.store = store
         self.folder = folder
+        self.bounds = bounds
         self.ready = False
         self.process: asyncio.subprocess.Process | None = None
         self.stopping = False
         self.paused = False
         self.exit_codes: list[int] = []
-        self.started_at = 0.0
+        self.was_ready = False
         self.closed = False
         self._runner: asyncio.Task[None] | None = None
 
@@ -126,17 +134,13 @@
                     stdout=log,
                     stderr=log,
                 )
-                self.started_at = time.monotonic()
+                self.was_ready = False
                 code = await self.process.wait()
-                if not self._is_loading():
+                if self.was_ready or code not in SIGNALLED_AT_START:
                     self.exit_codes.append(code)
                 self.ready = False
                 await asyncio.sleep(RESTART_DELAY_S)
 
-    def _is_loading(self) -> bool:
-        """Return whether the program's own code may not have started yet."""
-        return time.monotonic() - self.started_at < INTERPRETER_START_S
-
     def _settings(self) -> dict[str, Any]:
         return {
             "nodeName": self.name,
@@ -144,6 +148,6 @@
             "ip": self.ip,
             "listenAddrs": {"front": self.front, "ready": self.ready_address},
             "internalPorts": [FIRST_PORT, FIRST_PORT + 15],
-            "bounds": BOUNDS,
+            "bounds": self.bounds,
             "platform": {"address": self.store},
         }
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -1,56 +1,29 @@
 """Upstreams of the soak; they run and record requests and carry out weights orders."""
 
 import asyncio
+import contextlib
 import json
 import random
 import time
-from collections.abc import Callable
-from dataclasses import dataclass, field
+from collections.abc import Awaitable, Callable
+from weakref import WeakKeyDictionary
 
-from platform_standins import Exchange, StoreStandIn, UpstreamStandIn
+from platform_standins import Exchange, StoreStandIn, UpstreamStandIn, response_bytes
 
+from .answering import FAILURE_BODY, Answering
 from .proxy import Proxy
+from .runs import LateRequest, Run, UpstreamRecord
 
 HEARTBEAT_S = 0.6
 WEIGHTS_LOAD_S = 0.4
-EVENT_INTERVAL_S = 0.02
-EVENTS = 12
+# Events of a stream, and the time between two of them, by the first part of its path.
+STREAMS = {"a": (12, 0.02), "short": (30, 0.03)}
+BACKUP_INTERVAL_S = 0.1
 DRAIN_SLACK_S = 0.2
-
-
-@dataclass(slots=True, kw_only=True)
-class Run:
-    """One run of a request that an upstream accepted."""
-
-    request: str
-    instance: str
-    at: float
-    organisation: str | None
-    namespace: str | None
-    weights: int | None
-    resumed: bool
-
-
-@dataclass(slots=True, kw_only=True)
-class UpstreamRecord:
-    """Observations of all upstreams.
-
-    Attributes
-    ----------
-    arrivals : list of (float, str, str)
-        Time, service and id of each request that reached an upstream.
-    requests_with_key : list of str
-        Requests that were forwarded with the caller's key.
-    late_requests : list of str
-        Requests that reached a draining instance after all routers had to know of its
-        stop.
-    """
-
-    runs: dict[str, list[Run]] = field(default_factory=dict)
-    arrivals: list[tuple[float, str, str]] = field(default_factory=list)
-    requests_with_key: list[str] = field(default_factory=list)
-    late_requests: list[str] = field(default_factory=list)
-    fences: dict[str, int] = field(default_factory=dict)
+# Share of the plain requests that take longer, so that faults meet them while they run.
+LONG_SHARE = 0.1
+# Share of the starts after which an upstream does not notice closed connections.
+UNAWARE_SHARE = 0.3
 
 
 class SoakUpstream:
@@ -63,6 +36,10 @@
         infinite.
     desired_version : callable
         Returns the newest announced weights version.
+    answering : Answering
+        How it answers at the moment; faults replace it.
+    unaware : bool
+        Whether it goes on with a request whose connection was closed.
     """
 
     def __init__(
@@ -97,6 +74,13 @@
         self.running = 0
         self.server: asyncio.Server | None = None
         self.load_task: asyncio.Task[None] | None = None
+        self.answering = Answering()
+        self.unaware = False
+        self.run_tasks: set[asyncio.Task[None]] = set()
+        # Answers that may arrive once more before the next one on their connection.
+        self.copies: WeakKeyDictionary[asyncio.StreamWriter, bytes] = (
+            WeakKeyDictionary()
+        )
 
     async def start(self) -> None:
         """Listen and register, sometimes under the previous name."""
@@ -117,15 +101,21 @@
         self.sequence, self.fencing, self.busy = 0, 0, False
         self.state, self.alive = "ready", True
         self.drain_written_at = float("inf")
+        self.unaware = self.rng.random() < UNAWARE_SHARE
+        self.proxy.listen()
         self.register()
 
     def crash(self) -> None:
         """End at once, without removing the registration from the store."""
         self.alive = False
         self.proxy.target = ""
+        self.proxy.stop_listening()
         if self.server is not None:
             self.server.close()
         self.proxy.reset()
+        for task in self.run_tasks:
+            task.cancel()
+        self.record.backups.pop(self.proxy.address, None)
 
     async def restart(self, seconds: float) -> None:
         """Crash, and start again without any state after some seconds."""
@@ -210,9 +200,20 @@
         await asyncio.sleep(WEIGHTS_LOAD_S)
         self.version, self.busy = version, False
 
+    async def _respond(
+        self, exchange: Exchange, body: bytes, status: int = 200, **headers: str
+    ) -> None:
+        """Answer, sometimes after a late copy of an earlier answer."""
+        copy = self.copies.pop(exchange.writer, b"")
+        own = response_bytes(exchange.id, body, status=status, **headers)
+        if self.rng.random() < self.answering.copied_share:
+            self.copies[exchange.writer] = own
+        with contextlib.suppress(ConnectionError):
+            await exchange.send(copy + own)
+
     async def _refuse(self, exchange: Exchange, status: int) -> None:
         headers = {"X_Not_Executed": "1"} if status == 503 else {}
-        await exchange.respond(b"", status=status, **headers)
+        await self._respond(exchange, b"", status, **headers)
 
     async def _handle_request(self, exchange: Exchange) -> None:
         headers, now = exchange.headers, time.monotonic()
@@ -223,44 +224,117 @@
             await self._refuse(exchange, 421)
             return
         if now > self.drain_written_at + 2.0 + DRAIN_SLACK_S:
-            self.record.late_requests.append(exchange.id)
+            self.record.late_requests.append(
+                LateRequest(request=exchange.id, at=now, upstream=self.proxy.address)
+            )
         expected = headers.get("x-expect-version")
         if self.engine and expected not in (None, str(self.version)):
             await self._refuse(exchange, 421)
             return
-        if self.busy or self.running >= self.slots:
+        refused = self.rng.random() < self.answering.refused_share
+        busy = self.busy or self.running >= self.slots or refused
+        if busy or not self._takes_backup(exchange):
             await self._refuse(exchange, 503)
             return
-        self._record_run(exchange, now)
+        await self._run_or_leave(exchange)
+
+    def _takes_backup(self, exchange: Exchange) -> bool:
+        """Use up the backup that a request continues; return False if there is none."""
+        source = exchange.headers.get("kv-from")
+        if source is None:
+            return True
+        address, _, request = source.rpartition("/")
+        held = self.record.backups.get(self.proxy.address, set())
+        if address != self.proxy.address or request not in held:
+            return False
+        held.remove(request)
+        return True
+
+    async def _run_or_leave(self, exchange: Exchange) -> None:
+        """Run a request; when its connection is closed, most upstreams drop it."""
+        task = asyncio.create_task(self._run(exchange))
+        self.run_tasks.add(task)
+        task.add_done_callback(self.run_tasks.discard)
+        try:
+            await asyncio.wait([task])
+        except asyncio.CancelledError:
+            if not self.unaware:
+                task.cancel()
+            raise
+
+    async def _run(self, exchange: Exchange) -> None:
+        run = self._record_run(exchange)
+        limit_s = int(exchange.headers["x-deadline-ms"]) / 1000
         self.running += 1
         try:
-            if self.engine:
-                await self._stream(exchange)
-            else:
-                await asyncio.sleep(self.rng.uniform(0.01, 0.05))
-                await exchange.respond(exchange.id.encode())
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(limit_s):
+                    await self._answer(exchange)
         finally:
             self.running -= 1
+            run.ended_at = time.monotonic()
 
-    def _record_run(self, exchange: Exchange, now: float) -> None:
+    async def _answer(self, exchange: Exchange) -> None:
+        if self.rng.random() < self.answering.broken_share:
+            exchange.reset()
+            return
+        if self.engine:
+            await self._stream(exchange)
+            return
+        long = self.rng.random() < LONG_SHARE
+        await asyncio.sleep(self.rng.uniform(0.01, 0.6 if long else 0.05))
+        if self.rng.random() < self.answering.failed_share:
+            status = self.rng.choice(self.answering.failures)
+            await self._respond(exchange, FAILURE_BODY, status)
+            return
+        await self._respond(exchange, exchange.id.encode())
+
+    def _record_run(self, exchange: Exchange) -> Run:
         headers = exchange.headers
         run = Run(
             request=exchange.id,
             instance=f"{self.instance}/{self.started_ms}",
-            at=now,
+            at=time.monotonic(),
             organisation=headers.get("x-tenant"),
             namespace=headers.get("x-cache-salt"),
             weights=self.version if self.engine else None,
             resumed="last-event-id" in headers,
+            continued="kv-from" in headers,
+            cuts=self.proxy.cuts,
         )
         self.record.runs.setdefault(exchange.id, []).append(run)
+        return run
 
     async def _stream(self, exchange: Exchange) -> None:
+        count, interval_s = STREAMS[exchange.target.split("/")[1]]
         first = int(exchange.headers.get("last-event-id", "0")) + 1
         await asyncio.sleep(self.rng.uniform(0.02, 0.1))
-        await exchange.start_stream()
-        for number in range(first, EVENTS + 1):
+        if self.rng.random() < self.answering.failed_share:
+            status = self.rng.choice(self.answering.failures)
+            await self._respond(exchange, FAILURE_BODY, status)
+            return
+        await _send(exchange.start_stream())
+        backed_up_at = time.monotonic()
+        for number in range(first, count + 1):
             data = f"id: {number}\ndata: {exchange.id}-{number}\n\n"
-            await exchange.send_chunk(data.encode())
-            await asyncio.sleep(EVENT_INTERVAL_S)
-        await exchange.end_stream()
+            await _send(exchange.send_chunk(data.encode()))
+            await asyncio.sleep(interval_s)
+            if time.monotonic() >= backed_up_at + BACKUP_INTERVAL_S:
+                self._back_up(exchange)
+        await _send(exchange.end_stream())
+        self._drop_backup(exchange)
+
+    def _back_up(self, exchange: Exchange) -> None:
+        address = exchange.headers.get("x-kv-backup")
+        if address is not None:
+            self.record.backups.setdefault(address, set()).add(exchange.id)
+
+    def _drop_backup(self, exchange: Exchange) -> None:
+        address = exchange.headers.get("x-kv-backup", "")
+        self.record.backups.get(address, set()).discard(exchange.id)
+
+
+async def _send(sending: Awaitable[None]) -> None:
+    """Send a part of an answer; a closed connection does not end the run."""
+    with contextlib.suppress(ConnectionError):
+        await sending
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -15,11 +15,32 @@
 from .promises import Disturbances, KeyPeriod, RequestQuota
 from .proxy import Proxy
 from .routers import BOUNDS, Router
-from .upstreams import SoakUpstream, UpstreamRecord
+from .runs import UpstreamRecord
+from .upstreams import SoakUpstream
 
 ENGINES = 3
 DESKS = 2
 READY_S = 15.0
+# Bounds on retries; the smaller ones are soon used up.
+RETRY_BOUNDS = (
+    {"retryBudgetRatio": 0.2, "retrySlack": 52},
+    {"retryBudgetRatio": 0.1, "retrySlack": 30},
+    {"retryBudgetRatio": 0.05, "retrySlack": 20},
+)
+SHORT_ROUTE = {
+    "name": "r-short",
+    "host": "h.example",
+    "prefix": "/short/",
+    "kind": "streaming",
+    "timeoutMs": 10000,
+    "targetLatencyMs": 1200,
+    "priority": 1,
+    "service": "engines",
+    "maxAttempts": 2,
+    "public": False,
+    "sticky": True,
+    "gapAimMs": 800,
+}
 # The key that configuration changes revoke and grant again.
 CHANGING_KEY = "k3"
 ORGANISATIONS = {"k1": "org1", "k2": "org2", "k3": "org3"}
@@ -55,6 +76,7 @@
             f"vm{number}": Proxy(store.address) for number in range(routers)
         }
         self.folder = folder
+        self.bounds = {**BOUNDS, **rng.choice(RETRY_BOUNDS)}
         self.router_count = routers
         self.routers: list[Router] = []
         self.upstreams = [
@@ -94,6 +116,7 @@
                 data_centre=f"dc{1 + number % 2}",
                 store=path.address,
                 folder=self.folder,
+                bounds=self.bounds,
             )
             assert router.name == name
             self.routers.append(router)
@@ -114,6 +137,8 @@
             await upstream.proxy.close()
         for path in self.store_proxies.values():
             await path.close()
+        # The stand-ins' connections end by themselves.
+        await asyncio.sleep(0.1)
 
     def announce_weights(self) -> None:
         """Announce weights as the operator does; the first call announces version 1."""
@@ -145,9 +170,11 @@
             for key, name in ORGANISATIONS.items()
             if self.changing_key_allowed or key != CHANGING_KEY
         ]
-        return configuration_document(
+        document = configuration_document(
             version=self.configuration_version, tenants=tenants
         )
+        document["routes"].append(SHORT_ROUTE)
+        return document
 
 
 def _quota_of(name: str) -> dict[str, float]:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,7 +8,9 @@
 from soak.__main__ import soak
 from soak.callers import Outcome
 from soak.promises import Disturbances, GuaranteeChecker, KeyPeriod, RequestQuota
-from soak.upstreams import Run, UpstreamRecord
+from soak.proxy import Cut
+from soak.retry_rule import RetryRule
+from soak.runs import Run, UpstreamRecord
 
 # Add each seed that violated a guarantee, with a comment on the cause.
 SEEDS = (1,)
@@ -54,6 +56,8 @@
         "key_periods": [],
         "organisations": {"k1": "org1", "k2": "org2", "k3": "org3"},
         "isolated": {"org1"},
+        "routers": ["vm0"],
+        "retry_rule": RetryRule(ratio=0.2, slack=52, window_s=10.0),
     }
     return GuaranteeChecker(**{**values, **changes}).violations()
 
@@ -78,6 +82,7 @@
     [
         ({}, [{}, {}], "ran twice"),
         ({"status": 503}, [{}], "refused as not run, but ran"),
+        ({"status": 503, "body": b"failed"}, [{}], "promise of an upstream that ran"),
         ({"body": b"q2"}, [{}], "mixed"),
         ({}, [{"organisation": "org2"}], "wrong organisation"),
         ({}, [{}, {"request": "q9"}], "unasked"),
@@ -161,3 +166,36 @@
     record.arrivals = [(50.0 + n / 100, "desk", "q1") for n in range(60)]
     violations = check(make_outcome(), runs=[make_run()], record=record)
     assert any(line.startswith("retry budget") for line in violations)
+
+
+# Guards against counting the requests of one window only, or a slack for each router.
+@pytest.mark.parametrize(("repeats", "exceeded"), [(62, False), (63, True)])
+def test_the_retry_rule_takes_the_requests_of_the_best_window(repeats, exceeded):
+    record = UpstreamRecord()
+    record.arrivals = [(50.0 + n / 100, "desk", "q0") for n in range(repeats + 1)]
+    outcomes = [
+        make_outcome(request=f"q{n}", sent_at=41.0, body=f"q{n}".encode())
+        for n in range(50)
+    ]
+    violations = check(*outcomes, record=record)
+    assert any(line.startswith("retry budget") for line in violations) == exceeded
+
+
+# Guards against not reporting a stream that goes on while its first engine still runs
+# it, and against reporting it where that engine ended or could not be reached.
+@pytest.mark.parametrize(
+    ("first", "second", "expected"),
+    [
+        ({"ended_at": 51.5}, {"continued": True}, "went on"),
+        ({"ended_at": 51.3}, {"continued": True}, None),
+        ({"ended_at": 51.5, "cuts": [Cut(begin=50.9)]}, {"continued": True}, None),
+        ({"ended_at": 51.5, "cuts": [Cut(begin=9, end=10)]}, {"continued": True}, "w"),
+        ({"ended_at": 50.5}, {}, "ran twice"),
+    ],
+)
+def test_a_stream_that_runs_at_two_engines_is_reported(first, second, expected):
+    runs = [make_run(**first), make_run(at=51.0, ended_at=52.0, **second)]
+    outcome = make_outcome(kind="short", status=0, complete=False, body=b"")
+    violations = check(outcome, runs=runs)
+    assert bool(violations) == bool(expected), violations
+    assert all(line.startswith(expected) for line in violations)
