Let routers of the soak retry much while they get signals, and lose single connects

A router that starts has a full bucket of each quota (docs/platform.md); with kills in series that is more than the slack, so it is allowed for once per start.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -71,6 +71,9 @@
             organisations=ORGANISATIONS,
             isolated=ISOLATED,
             routers=environment.router_names(),
+            router_starts=[
+                at for router in environment.routers for at in router.starts
+            ],
             retry_rule=rule,
             quotas=QUOTAS,
         )
--- a/tests/soak/routers.py
+++ b/tests/soak/routers.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import sys
+import time
 from pathlib import Path
 from typing import Any
 
@@ -44,6 +45,8 @@
         Whether a planned stop is in progress.
     was_ready : bool
         Whether the running process has been ready.
+    starts : list of float
+        Times of the starts of the process.
     exit_codes : list of int
         Exit codes of the processes that have ended, except by a signal at their start.
     """
@@ -69,6 +72,7 @@
         self.paused = False
         self.exit_codes: list[int] = []
         self.was_ready = False
+        self.starts: list[float] = []
         self.closed = False
         self._runner: asyncio.Task[None] | None = None
 
@@ -135,6 +139,7 @@
                     stderr=log,
                 )
                 self.was_ready = False
+                self.starts.append(time.monotonic())
                 code = await self.process.wait()
                 if self.was_ready or code not in SIGNALLED_AT_START:
                     self.exit_codes.append(code)
--- a/tests/soak/upstream_faults.py
+++ b/tests/soak/upstream_faults.py
@@ -11,12 +11,17 @@
 from .upstreams import SoakUpstream
 from .world import Environment
 
+# Share of the resets of connections beside which connects are lost.
+LOST_CONNECT_SHARE = 0.4
 MODES = [mode for mode in Mode if mode is not Mode.PASS]
-ANSWERINGS = (
+RETRIED_ANSWERINGS = (
     Answering(refused_share=1.0),
     Answering(refused_share=0.4),
     Answering(broken_share=1.0),
     Answering(broken_share=0.4),
+)
+ANSWERINGS = (
+    *RETRIED_ANSWERINGS,
     Answering(failed_share=0.5),
     Answering(copied_share=0.7),
 )
@@ -107,10 +112,20 @@
         """Reset connections one by one, of which the upstream notices nothing."""
         upstream = self._random_upstream()
         self._log("resets", upstream, 1.0)
+        if self.rng.random() < LOST_CONNECT_SHARE:
+            await self._reset_and_lose_connects(upstream)
+            return
         for _ in range(self.rng.randint(1, 6)):
             upstream.proxy.reset_caller_ends(self.rng, 0.4)
             await asyncio.sleep(self.rng.uniform(0.02, 0.3))
 
+    async def _reset_and_lose_connects(self, upstream: SoakUpstream) -> None:
+        """Reset connections while the next connects are lost for a moment."""
+        upstream.proxy.set_mode(Mode.LOSE_CONNECTS)
+        upstream.proxy.reset_caller_ends(self.rng, 0.7)
+        await asyncio.sleep(self.rng.uniform(0.05, 0.5))
+        upstream.proxy.set_mode(Mode.PASS)
+
     async def half_close_connections(self) -> None:
         upstream = self._random_upstream()
         self._log("half-closes", upstream, 1.0)
@@ -139,8 +154,18 @@
             [item for item in upstreams if item.service == service]
         )
 
+    async def cause_retries(self, seconds: float) -> None:
+        """Let all upstreams of both services refuse or break requests."""
+        answering = self.rng.choice(RETRIED_ANSWERINGS)
+        await self._answer(answering, self.environment.upstreams, seconds)
+
     async def _change_answers(self, upstreams: list[SoakUpstream]) -> None:
         answering, seconds = self.rng.choice(ANSWERINGS), self.rng.uniform(1.0, 8.0)
+        await self._answer(answering, upstreams, seconds)
+
+    async def _answer(
+        self, answering: Answering, upstreams: list[SoakUpstream], seconds: float
+    ) -> None:
         for upstream in upstreams:
             self._log(f"{answering}", upstream, seconds)
             upstream.answering = answering
