Pause the soak's routers while connects are lost, and signal them by process id

A router that wakes up checks engines whose news are old; with a lost connect it takes them for unreachable.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -13,6 +13,8 @@
 
 # About the window of the retry rule.
 RETRIES_S = 10.0
+# Longer than the pauses beside it, and shorter than the kernel waits to connect again.
+CONNECTS_LOST_S = 0.95
 
 
 class Faults:
@@ -46,6 +48,7 @@
             *upstreams.faults,
             self.disturb_routers_while_they_retry,
             self.disturb_routers_while_they_retry,
+            self.pause_routers_while_connects_are_lost,
             self.refuse_store_requests,
             self.disturb_store_path,
             self.lose_store_responses,
@@ -93,6 +96,13 @@
             self._start(self.rng.choice(self.routers.faults))
         await retries
 
+    async def pause_routers_while_connects_are_lost(self) -> None:
+        """Let routers wake up with old news of an engine to which a connect is lost."""
+        connects = asyncio.create_task(self.upstreams.lose_connects(CONNECTS_LOST_S))
+        await asyncio.sleep(self.rng.uniform(0.0, 0.2))
+        await self.routers.pause_all_routers_for(self.rng.uniform(0.3, 0.8))
+        await connects
+
     async def refuse_store_requests(self) -> None:
         seconds, store = self.rng.uniform(0.5, 4.0), self.environment.store
         self.log.add("down", "store", seconds)
--- a/tests/soak/router_faults.py
+++ b/tests/soak/router_faults.py
@@ -72,7 +72,10 @@
             await asyncio.sleep(self.rng.uniform(0.05, 1.0))
 
     async def pause_all_routers(self) -> None:
-        seconds = self.rng.uniform(*PAUSE_S)
+        await self.pause_all_routers_for(self.rng.uniform(*PAUSE_S))
+
+    async def pause_all_routers_for(self, seconds: float) -> None:
+        """Pause the routers at slightly different times, at most for some seconds."""
 
         async def pause(router: Router) -> None:
             await asyncio.sleep(self.rng.uniform(0.0, MAX_OFFSET_S))
--- a/tests/soak/routers.py
+++ b/tests/soak/routers.py
@@ -91,8 +91,10 @@
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to the process if it is running."""
         if self.process is not None and self.process.returncode is None:
+            # The method of the process could collect its exit code; the watcher of
+            # asyncio would then report 255.
             with contextlib.suppress(ProcessLookupError):
-                self.process.send_signal(number)
+                os.kill(self.process.pid, number)
 
     async def pause(self, seconds: float) -> None:
         """Suspend the process for some seconds."""
@@ -112,8 +114,8 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(GRACE_S):
                 await process.wait()
-        if process.returncode is None:
-            process.kill()
+        if process is self.process:
+            self.send_signal(signal.SIGKILL)
         await process.wait()
         self.stopping = False
 
--- a/tests/soak/upstream_faults.py
+++ b/tests/soak/upstream_faults.py
@@ -159,6 +159,11 @@
         answering = self.rng.choice(RETRIED_ANSWERINGS)
         await self._answer(answering, self.environment.upstreams, seconds)
 
+    async def lose_connects(self, seconds: float) -> None:
+        """Lose new connects to one engine, whose open connections go on."""
+        engines = [item for item in self.environment.upstreams if item.engine]
+        await self._disturb(self.rng.choice(engines), Mode.LOSE_CONNECTS, seconds)
+
     async def _change_answers(self, upstreams: list[SoakUpstream]) -> None:
         answering, seconds = self.rng.choice(ANSWERINGS), self.rng.uniform(1.0, 8.0)
         await self._answer(answering, upstreams, seconds)
