--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -14,7 +14,7 @@
 # run once; "order" must run once and "look" may run again.
 KINDS = ("review", "short", "order", "look")
 # Most requests may run again, so that routers need their retry budget.
-KIND_WEIGHTS = (2, 2, 2, 5)
+KIND_WEIGHTS = (1, 3, 2, 5)
 STREAM_KINDS = ("review", "short")
 ONCE_KINDS = ("short", "order")
 TARGETS = {
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -43,12 +43,11 @@
             log=self.log,
             undisturbed=self._are_routers_undisturbed,
         )
-        self.faults: list[Callable[[], Awaitable[None]]] = [
-            *routers.faults,
-            *upstreams.faults,
-            self.disturb_routers_while_they_retry,
+        together = [
             self.disturb_routers_while_they_retry,
             self.pause_routers_while_connects_are_lost,
+        ]
+        others = [
             self.refuse_store_requests,
             self.disturb_store_path,
             self.lose_store_responses,
@@ -56,13 +55,21 @@
             self.change_configuration,
             self.announce_weights,
         ]
+        # Upstreams take two turns of five, since one fault meets few of the requests.
+        self.groups: list[list[Callable[[], Awaitable[None]]]] = [
+            routers.faults,
+            upstreams.faults,
+            upstreams.faults,
+            together,
+            others,
+        ]
 
     async def run(self, until: float, *, mean_interval_s: float) -> None:
         """Inject faults until the given time, also while earlier ones last."""
         while time.monotonic() < until:
             await asyncio.sleep(self.rng.expovariate(1 / mean_interval_s))
             for _ in range(self.rng.choice((1, 1, 1, 2, 3))):
-                self._start(self.rng.choice(self.faults))
+                self._start(self.rng.choice(self.rng.choice(self.groups)))
         if self.tasks:
             await asyncio.wait(self.tasks)
 
--- a/tests/soak/upstream_faults.py
+++ b/tests/soak/upstream_faults.py
@@ -65,6 +65,7 @@
             self.disturb_path,
             self.hold,
             self.reset_connections,
+            self.reset_connections,
             self.half_close_connections,
             self.stop_listening,
             self.change_answers,
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -23,7 +23,7 @@
 # Share of the plain requests that take longer, so that faults meet them while they run.
 LONG_SHARE = 0.1
 # Share of the starts after which an upstream does not notice closed connections.
-UNAWARE_SHARE = 0.3
+UNAWARE_SHARE = 0.5
 
 
 class SoakUpstream:
