Count a retry in the window in which it arrives

Upstreams saw: retries beyond the stated limit after a time in which they took no requests. Cause: a retry was counted when it was allowed. It may then wait for an upstream for as long as the caller does, and all that wait are sent together once one is free again, when those that were allowed first have left the window and were allowed anew. An attempt also takes up to 0.35 s to connect. Ruled out: counting at the end of an attempt; a stream may last as long as the window. Change: a retry is reserved when it is allowed, counts from the start of its attempt, waits again if the attempt reached no upstream, and is given back if it is never sent. It counts for half a second beyond the window. Tests: retries now expire 0.5 s later, since the rule counts arrivals; the test checks both sides.

--- a/src/endivelug/forwarding/calls.py
+++ b/src/endivelug/forwarding/calls.py
@@ -6,6 +6,7 @@
 from endivelug.forwarding.event_stream import EventSplitter
 from endivelug.forwarding.quotas.charges import QuotaCharge
 from endivelug.forwarding.requests import InboundRequest
+from endivelug.forwarding.retry_budget import RetryReservation
 from endivelug.forwarding.routes import Organisation, Repeat, Route
 from endivelug.forwarding.upstream_connection import ResponseHead
 
@@ -67,6 +68,8 @@
         Complete events received from the instance of the attempt in progress.
     quota_charge : QuotaCharge or None
         What the call is charged to its organisation's quota.
+    retry : RetryReservation or None
+        The last retry that the budget has allowed.
     """
 
     request: InboundRequest
@@ -92,6 +95,7 @@
     longest_pause_s: float = 0.0
     events: int = 0
     quota_charge: QuotaCharge | None = None
+    retry: RetryReservation | None = None
     key: str = field(default_factory=_new_key)
     splitter: EventSplitter = field(default_factory=EventSplitter)
 
--- a/src/endivelug/forwarding/forwarder.py
+++ b/src/endivelug/forwarding/forwarder.py
@@ -153,6 +153,8 @@
             await self.errors.fail_unforeseen(call, writer, error)
         finally:
             self.quotas.end(call)
+            if call.retry is not None:
+                self.budget.release(call.retry)
 
     async def _admit(
         self, request: InboundRequest, head_check: Permitted | None, writer: Writer
@@ -219,6 +221,8 @@
             call.instance = name
             outcome: AttemptOutcome | None = None
             sent_at = self.clock()
+            if call.retry is not None:
+                self.budget.record_sent(call.retry, now=sent_at)
             try:
                 outcome = await self.runner.run(call, placement, writer)
                 call.instance = None
@@ -257,9 +261,7 @@
     ) -> Placement | None:
         """Return a placement that continues a broken stream from a backup, or None."""
         continuation = await self.recovery.find_continuation(call, placement, outcome)
-        if continuation is None or not self.budget.try_acquire(
-            call.service, now=self.clock()
-        ):
+        if continuation is None or not self._reserve_retry(call):
             return None
         call.continued = True
         self.dispatcher.add_work(call, continuation)
@@ -271,9 +273,16 @@
         if now >= call.deadline - 2 * RESPONSE_MARGIN_S or not call.may_run_again:
             return False
         if isinstance(outcome, NotSent):
-            # No upstream received it, so the retry budget is not charged.
+            # No upstream received it, so the next attempt needs no more of the budget.
+            if call.retry is not None:
+                self.budget.record_not_sent(call.retry)
             return True
-        return self.budget.try_acquire(call.service, now=now)
+        return self._reserve_retry(call)
+
+    def _reserve_retry(self, call: Call) -> bool:
+        """Return whether the budget allows a retry, and keep it for the call."""
+        call.retry = self.budget.reserve(call.service, now=self.clock())
+        return call.retry is not None
 
     def _record_failure(
         self, call: Call, placement: Placement, outcome: AttemptOutcome
--- a/src/endivelug/forwarding/retry_budget.py
+++ b/src/endivelug/forwarding/retry_budget.py
@@ -22,6 +22,9 @@
 USABLE_SHARE = 0.95
 # Part of it that VMs use without asking; the rest is the pool.
 OWN_PART = 0.3
+# Upper bound of the time from the start of an attempt to its arrival: connecting takes
+# up to 0.35 s. A retry counts for this long beyond the window.
+ARRIVAL_MARGIN_S = 0.5
 # From this number of VMs, an equal part of the pool of a service with few requests is
 # less than one retry, and few VMs need one at the same moment. Each may then take one
 # while at least half of the pool is unused.
@@ -38,12 +41,33 @@
     retries: int
 
 
+@dataclass(slots=True, kw_only=True)
+class RetryReservation:
+    """A retry that is counted.
+
+    Attributes
+    ----------
+    from_pool : float
+        What it uses of the pool.
+    sent_at : float or None
+        Start of its attempt; None while it waits.
+    """
+
+    service: str
+    from_pool: float
+    sent_at: float | None = None
+
+
 @dataclass(slots=True, kw_only=True)
 class _Counts:
     requests: WindowCount
     retries: WindowCount
     pool: PoolGrants
     departed: WindowCount
+    waiting: int = 0
+
+    def used(self, *, now: float) -> float:
+        return self.retries.total(now=now) + self.waiting
 
 
 @dataclass(slots=True, kw_only=True)
@@ -86,19 +110,60 @@
         """Count a caller's request to a service."""
         self._counts_of(service).requests.add(now=now)
 
-    def try_acquire(self, service: str, *, now: float) -> bool:
-        """Use one retry; return False if none is allowed."""
+    def reserve(self, service: str, *, now: float) -> RetryReservation | None:
+        """Count a retry that is to be sent, or return None if none is allowed.
+
+        It counts until it was sent, however long it waits, and within the window after
+        that: retries that waited for an upstream arrive together.
+        """
         if now < self.cautious_until:
-            return False
+            return None
         counts = self._counts_of(service)
-        allowed = self._own_share(counts, now=now) + counts.pool.used.total(now=now)
-        from_pool = max(0.0, counts.retries.total(now=now) + 1 - allowed)
-        if from_pool > ROUNDING_ERROR:
+        allowed = self._own_share(counts, now=now) + counts.pool.used(now=now)
+        from_pool = max(0.0, counts.used(now=now) + 1 - allowed)
+        if from_pool < ROUNDING_ERROR:
+            from_pool = 0.0
+        else:
             self._take_from_pool(service, counts, now=now)
             if counts.pool.available(now=now) + ROUNDING_ERROR < from_pool:
-                return False
-            counts.pool.use(from_pool, now=now)
+                return None
+            counts.pool.reserve(from_pool)
+        counts.waiting += 1
+        return RetryReservation(service=service, from_pool=from_pool)
+
+    def record_sent(self, reservation: RetryReservation, *, now: float) -> None:
+        """Count a retry from the start of its attempt."""
+        self.release(reservation)
+        reservation.sent_at = now
+        counts = self._counts_of(reservation.service)
         counts.retries.add(now=now)
+        if reservation.from_pool:
+            counts.pool.spent.add(now=now, count=reservation.from_pool)
+
+    def record_not_sent(self, reservation: RetryReservation) -> None:
+        """Let a retry wait again whose attempt has reached no upstream."""
+        if reservation.sent_at is None:
+            return
+        counts, sent_at = self._counts_of(reservation.service), reservation.sent_at
+        counts.retries.remove(at=sent_at)
+        counts.pool.spent.remove(at=sent_at, count=reservation.from_pool)
+        reservation.sent_at = None
+        counts.waiting += 1
+        counts.pool.reserved += reservation.from_pool
+
+    def release(self, reservation: RetryReservation) -> None:
+        """Stop counting a retry unless it was sent."""
+        if reservation.sent_at is None:
+            counts = self._counts_of(reservation.service)
+            counts.waiting -= 1
+            counts.pool.reserved -= reservation.from_pool
+
+    def try_acquire(self, service: str, *, now: float) -> bool:
+        """Count a retry that is sent now; return False if none is allowed."""
+        reservation = self.reserve(service, now=now)
+        if reservation is None:
+            return False
+        self.record_sent(reservation, now=now)
         return True
 
     def requests_per_s(self, service: str, *, now: float) -> float:
@@ -125,7 +190,7 @@
 
         It may have used its whole share, and taken from the pool without a report.
         """
-        self.cautious_until = now + self.window_s
+        self.cautious_until = now + self.window_s + ARRIVAL_MARGIN_S
 
     def forget(self, vm: str, *, now: float) -> None:
         """Remove the counts of a neighbour that is no longer linked.
@@ -170,7 +235,7 @@
         pool = self._pool(service, now=now)
         claimed = self.neighbours.total(service).retries
         departed = counts.departed.total(now=now)
-        used = counts.pool.used.total(now=now)
+        used = counts.pool.used(now=now)
         left = pool - claimed - departed - used
         reporting = 1 + sum(self.represented_vms.values())
         part = left / reporting
@@ -193,11 +258,12 @@
     def _counts_of(self, service: str) -> _Counts:
         counts = self.counts.get(service)
         if counts is None:
+            counted_s = self.window_s + ARRIVAL_MARGIN_S
             counts = _Counts(
                 requests=WindowCount(window_s=self.window_s),
-                retries=WindowCount(window_s=self.window_s),
-                pool=PoolGrants(used=WindowCount(window_s=self.window_s)),
-                departed=WindowCount(window_s=self.window_s),
+                retries=WindowCount(window_s=counted_s),
+                pool=PoolGrants(spent=WindowCount(window_s=counted_s)),
+                departed=WindowCount(window_s=counted_s),
             )
             self.counts[service] = counts
         return counts
--- a/src/endivelug/forwarding/retry_pool.py
+++ b/src/endivelug/forwarding/retry_pool.py
@@ -21,25 +21,32 @@
 
     Attributes
     ----------
-    used : WindowCount
-        Amounts used by retries.
+    spent : WindowCount
+        Amounts used by retries that were sent.
+    reserved : float
+        Amounts used by retries that wait to be sent.
     granted_at : float
         Time of the last grant.
     unused : float
         What is left of it.
     """
 
-    used: WindowCount
+    spent: WindowCount
+    reserved: float = 0.0
     granted_at: float = float("-inf")
     unused: float = 0.0
 
+    def used(self, *, now: float) -> float:
+        """Return the amount that retries have used within the window."""
+        return self.spent.total(now=now) + self.reserved
+
     def available(self, *, now: float) -> float:
         """Return what may still be used of the last grant."""
         return 0.0 if self.may_take(now=now) else self.unused
 
     def claimed(self, *, now: float) -> float:
         """Return what other VMs must not use."""
-        return self.used.total(now=now) + self.available(now=now)
+        return self.used(now=now) + self.available(now=now)
 
     def may_take(self, *, now: float) -> bool:
         """Return whether the other VMs know of the last grant."""
@@ -50,7 +57,7 @@
         self.granted_at = now
         self.unused = amount
 
-    def use(self, amount: float, *, now: float) -> None:
-        """Use a part of the grant."""
+    def reserve(self, amount: float) -> None:
+        """Use a part of the grant for a retry that waits to be sent."""
         self.unused -= amount
-        self.used.add(now=now, count=amount)
+        self.reserved += amount
--- a/src/endivelug/forwarding/window_count.py
+++ b/src/endivelug/forwarding/window_count.py
@@ -25,6 +25,12 @@
         self.events.append((now, count))
         self.sum += count
 
+    def remove(self, *, at: float, count: float = 1) -> None:
+        """Remove events that were added at a time, unless they have expired."""
+        if (at, count) in self.events:
+            self.events.remove((at, count))
+            self.sum -= count
+
     def total(self, *, now: float) -> float:
         """Drop expired events and return the sum within the window."""
         while self.events and self.events[0][0] <= now - self.window_s:
--- a/tests/retry_vms.py
+++ b/tests/retry_vms.py
@@ -18,6 +18,8 @@
 REPORT_S = 0.1
 # Time without a process when a VM is restarted.
 START_S = 0.4
+# Longest time from the decision to retry to the arrival: that of a connection attempt.
+ARRIVAL_S = 0.35
 
 
 def make_budget(**changes):
@@ -182,7 +184,7 @@
             self.requests.append(self.now)
         for _ in range(demand):
             if vm.budget.try_acquire(SERVICE, now=self.now):
-                self.retries.append(self.now)
+                self.retries.append(self.now + self.rng.uniform(0.0, ARRIVAL_S))
                 self.retries_by_vm[vm.name] += 1
 
     def _report(self, vm):
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -1,5 +1,5 @@
 from endivelug.forwarding.neighbour_sums import RetryCount
-from endivelug.forwarding.retry_budget import SharedRetryBudget
+from endivelug.forwarding.retry_budget import ARRIVAL_MARGIN_S, SharedRetryBudget
 
 WINDOW_S = 10.0
 
@@ -79,7 +79,8 @@
     while budget.try_acquire("s", now=0.0):
         pass
     assert not budget.try_acquire("s", now=WINDOW_S - 0.1)
-    assert budget.try_acquire("s", now=WINDOW_S + 0.1)
+    assert not budget.try_acquire("s", now=WINDOW_S + 0.4)
+    assert budget.try_acquire("s", now=WINDOW_S + ARRIVAL_MARGIN_S + 0.1)
 
 
 # Guards against spending the retries of a peer again when it has been removed, and
@@ -89,7 +90,48 @@
     report_counts(budget, "vm1", RetryCount(retries=20))
     own_share = send_retries(budget, now=0.0)
     budget.forget("vm1", now=0.0)
-    assert send_retries(budget, now=WINDOW_S - 0.1) == 0
+    assert send_retries(budget, now=WINDOW_S) == 0
     report_counts(budget, "vm1", RetryCount())
-    later = WINDOW_S + 0.1
+    later = WINDOW_S + ARRIVAL_MARGIN_S + 0.1
     assert send_retries(budget, now=later) > own_share
+
+
+# Guards against retries that wait for an upstream until those before them have left the
+# window, and then arrive together.
+def test_a_retry_counts_from_the_time_at_which_it_is_sent():
+    (budget,) = make_budgets(1, slack=10.0)
+    waiting = []
+    while (reservation := budget.reserve("s", now=0.0)) is not None:
+        waiting.append(reservation)
+    sent_at = WINDOW_S + ARRIVAL_MARGIN_S + 1.0
+    assert not budget.try_acquire("s", now=sent_at)
+    for reservation in waiting:
+        budget.record_sent(reservation, now=sent_at)
+    assert not budget.try_acquire("s", now=sent_at + WINDOW_S)
+    assert budget.try_acquire("s", now=sent_at + WINDOW_S + ARRIVAL_MARGIN_S + 0.1)
+
+
+# Guards against a retry that counts from an attempt which has reached no upstream, and
+# arrives when those of its time have left the window.
+def test_a_retry_that_was_not_sent_counts_from_its_next_attempt():
+    (budget,) = make_budgets(1, slack=10.0)
+    waiting = []
+    while (reservation := budget.reserve("s", now=0.0)) is not None:
+        waiting.append(reservation)
+    for at in (0.0, WINDOW_S):
+        for reservation in waiting:
+            budget.record_not_sent(reservation)
+            budget.record_sent(reservation, now=at)
+    assert not budget.try_acquire("s", now=2 * WINDOW_S)
+    assert budget.try_acquire("s", now=2 * WINDOW_S + ARRIVAL_MARGIN_S + 0.1)
+
+
+# Guards against retries that are never sent and use up the budget.
+def test_a_retry_that_is_not_sent_goes_back():
+    (budget,) = make_budgets(1, slack=10.0)
+    waiting = []
+    while (reservation := budget.reserve("s", now=0.0)) is not None:
+        waiting.append(reservation)
+    for reservation in waiting:
+        budget.release(reservation)
+    assert send_retries(budget, now=1.0) == len(waiting)
