Admit no burst of a quota again after a restart

Cause: as for the retry budget: a process that starts had full buckets, and until it had the list of VMs took itself for the only one. Change: a process admits nothing until the VMs are counted, 5 s at most, and its buckets begin empty for the length of the window. What runs of a quota meanwhile is its rate. Ruled out: a burst that is kept on the platform: a row for each organisation and second.

--- a/src/endivelug/forwarding/quotas/quota_gate.py
+++ b/src/endivelug/forwarding/quotas/quota_gate.py
@@ -31,6 +31,8 @@
 # A caller waits for a Retry-After time of at most this part of the time it has left.
 RETRY_PART_OF_REMAINING = 1 / 3
 LOG_INTERVAL_S = 1.0
+# Interval in which a VM that has just started looks for the list of VMs.
+COUNT_INTERVAL_S = 0.05
 # Organisations whose log interval is remembered; beyond that it starts anew for all.
 MAX_LOGGED_ORGANISATIONS = 1000
 # Organisations without a usable quota that a log line names.
@@ -51,7 +53,8 @@
     limiter : QuotaLimiter
         Holds the state of the quotas.
     count_vms : callable
-        Returns the number of VMs that share the quotas, and of those that report.
+        Returns the number of VMs that share the quotas, and of those that report; None
+        if no VM is known yet.
     configuration : callable
         Returns the configuration in force.
     """
@@ -61,7 +64,7 @@
         *,
         limiter: QuotaLimiter,
         metrics: QuotaMetrics,
-        count_vms: Callable[[], tuple[int, int]],
+        count_vms: Callable[[], tuple[int, int] | None],
         configuration: Callable[[], RoutingConfiguration | None],
         clock: Callable[[], float],
         log: LogLine,
@@ -119,16 +122,22 @@
 
     async def run(self) -> None:
         """Exchange what is used of the quotas, until cancelled."""
+        self.limiter.assume_predecessor(now=self.clock())
+        while self.count_vms() is None:
+            await asyncio.sleep(COUNT_INTERVAL_S)
         while True:
-            await asyncio.sleep(BLOCK_S)
             self.end_block()
+            await asyncio.sleep(BLOCK_S)
 
     def end_block(self) -> None:
         """Update the state of all quotas after a block."""
         configuration = self.configuration()
         if configuration is None:
             return
-        self.limiter.vms, self.limiter.represented_vms = self.count_vms()
+        counted = self.count_vms()
+        if counted is not None:
+            self.limiter.vms, self.limiter.represented_vms = counted
+            self.limiter.counted = True
         self.limiter.end_block(configuration.quotas, now=self.clock())
         if configuration.version != self._checked_version:
             self._checked_version = configuration.version
@@ -190,6 +199,7 @@
     rng: random.Random,
 ) -> QuotaGate:
     """Return the gate of one VM, connected to the reports of the others."""
+    now = peers.clock()
     limiter = QuotaLimiter(
         shared=SharedAmounts(kind=KIND, table=peers.shared),
         tolerance=Tolerance(
@@ -204,22 +214,22 @@
     )
     metrics.gauges["quota_organisations"] = limiter.organisations
     metrics.gauges["quota_share"] = lambda: limiter.share
-    now = peers.clock()
     known = KnownVms(linked_at=now + LINKING_S, period_until=now + FORGET_AFTER_S)
     units = QuotaMetrics(registry=metrics.registry, busiest=metrics.busiest)
     metrics.by_organisation.append(units.units)
     return QuotaGate(
         limiter=limiter,
         metrics=units,
-        count_vms=lambda: (
-            known.record(
-                peers.vms,
-                registered=len(peers.overlay.registered),
-                now=peers.clock(),
-            ),
-            peers.vms,
-        ),
+        count_vms=lambda: _count_vms(peers, known),
         configuration=lambda: peers.view.configuration,
         clock=peers.clock,
         log=peers.log,
     )
+
+
+def _count_vms(peers: Peers, known: KnownVms) -> tuple[int, int] | None:
+    """Return the VMs that share the quotas and those that report, if known."""
+    now, registered = peers.clock(), len(peers.overlay.registered)
+    if not registered and now < known.linked_at:
+        return None
+    return known.record(peers.vms, registered=registered, now=now), peers.vms
--- a/src/endivelug/forwarding/quotas/quota_limiter.py
+++ b/src/endivelug/forwarding/quotas/quota_limiter.py
@@ -65,16 +65,26 @@
     ----------
     vms, represented_vms : int
         VMs that share the quotas, and those of them that report, this one included.
+    counted : bool
+        Whether ``vms`` is known; until then nothing is admitted.
+    full_from : float
+        Time from which a new bucket is full.
     """
 
     def __init__(
-        self, *, shared: SharedAmounts, tolerance: Tolerance, rng: random.Random
+        self,
+        *,
+        shared: SharedAmounts,
+        tolerance: Tolerance,
+        rng: random.Random,
     ) -> None:
         self.shared = shared
         self.tolerance = tolerance
         self.rng = rng
         self.vms = 1
         self.represented_vms = 1
+        self.counted = True
+        self.full_from = float("-inf")
         self._share = 1.0
         self._counted_vms = 1
         self._bounds_vms = 1
@@ -86,6 +96,16 @@
         """Part of each limit that this VM and those that report to it may use."""
         return self._share
 
+    def assume_predecessor(self, *, now: float) -> None:
+        """Assume that a former process of this VM has used the bursts.
+
+        Nothing is admitted until the VMs are counted, and new buckets are empty until
+        the window has passed.
+        """
+        self.full_from = now + self.tolerance.window_s
+        self.counted = False
+        self._share = 0.0
+
     def level_of(self, organisation: str) -> float | None:
         """Return the level of an organisation with state."""
         state = self._states.get(organisation)
@@ -201,6 +221,8 @@
 
     def _add(self, organisation: str, quota: Quota, *, now: float) -> _State:
         bucket = Bucket.full(quota, self.tolerance, now=now, share=self._share)
+        if now < self.full_from:
+            bucket.level = 0.0
         bounds = self._bounds(quota)
         unchunked = self.rng.random() * bounds.chunk
         state = _State(
@@ -238,6 +260,8 @@
 
     def _update_share(self, now: float) -> None:
         """Follow the VMs that report, with a delay when they become fewer."""
+        if not self.counted:
+            return
         if self.represented_vms >= self._counted_vms:
             self._counted_vms = self.represented_vms
             self._fewer_at = None
