--- a/tests/soak/upstream_faults.py
+++ b/tests/soak/upstream_faults.py
@@ -160,6 +160,11 @@
         answering = self.rng.choice(RETRIED_ANSWERINGS)
         await self._answer(answering, self.environment.upstreams, seconds)
 
+    async def refuse_all(self, seconds: float) -> None:
+        """Let all upstreams refuse all requests."""
+        answering = Answering(refused_share=1.0)
+        await self._answer(answering, self.environment.upstreams, seconds)
+
     async def lose_connects(self, seconds: float) -> None:
         """Lose new connects to one engine, whose open connections go on."""
         engines = [item for item in self.environment.upstreams if item.engine]
