Name the statuses that promise apart from the router's own refusals, and try both loops

The same name stood in buffers/admission for the statuses that the router itself gives. The continuation after a crash is tested on uvloop too, which reports resets differently.

--- a/src/endivelug/forwarding/not_run_statuses.py
+++ b/src/endivelug/forwarding/not_run_statuses.py
@@ -2,7 +2,7 @@
 
 from endivelug.forwarding.calls import Call, Failed
 
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+PROMISED_NOT_RUN = frozenset({408, 421, 429, 503})
 
 
 def promises_wrongly(call: Call, failure: Failed) -> bool:
@@ -12,4 +12,4 @@
     sends a request that may run only once again after such a status; one that may run
     again is repeated after any failure.
     """
-    return not call.repeatable and failure.head.status in NOT_RUN_STATUSES
+    return not call.repeatable and failure.head.status in PROMISED_NOT_RUN
--- a/tests/test_promised_statuses.py
+++ b/tests/test_promised_statuses.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from endivelug.forwarding.not_run_statuses import NOT_RUN_STATUSES
+from endivelug.forwarding.not_run_statuses import PROMISED_NOT_RUN
 from router_process import PROMPT, metrics_port, run_scenario
 from test_stream_recovery import unrepeatable_streams
 
@@ -23,7 +23,7 @@
 
 # Guards against promising "not run" with the status of an upstream that ran the request
 # and did not state otherwise.
-@pytest.mark.parametrize("status", sorted(NOT_RUN_STATUSES - {421}))
+@pytest.mark.parametrize("status", sorted(PROMISED_NOT_RUN - {421}))
 @pytest.mark.parametrize(
     ("target", "headers"), [("/a/orders/1", {}), ("/a/x", PROMPT)], ids=["call", "run"]
 )
--- a/tests/test_stream_recovery.py
+++ b/tests/test_stream_recovery.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+import uvloop
 
 from forwarding_builders import configuration_document
 from router_process import PROMPT, metrics_port, run_scenario, wait_until
@@ -50,7 +51,8 @@
 
 # Guards against losing short streams with their engine although another engine has a
 # copy of the run (load: engines crash while they run many short streams).
-def test_a_stream_continues_from_the_copy_of_its_run_after_a_crash():
+@pytest.mark.parametrize("new_loop", [asyncio.new_event_loop, uvloop.new_event_loop])
+def test_a_stream_continues_from_the_copy_of_its_run_after_a_crash(new_loop):
     async def scenario(system):
         for engine in system.engines:
             engine.script = crash_after(engine, 2)
@@ -67,7 +69,9 @@
         assert second.headers["last-event-id"] == "2"
         assert second.headers["x-expect-version"] == first.headers["x-expect-version"]
 
-    run_scenario(scenario, engines=2, configuration=unrepeatable_streams())
+    run_scenario(
+        scenario, engines=2, configuration=unrepeatable_streams(), new_loop=new_loop
+    )
 
 
 # Guards against avoiding an engine that is only quiet for a moment: it accepts
