Make no upstream avoided because this process was paused while connecting

Seen: after a pause of one router, all routers avoided sound upstreams for 0.6 s, and cache stores for a second, which had accepted its connections during the pause. Cause: the time limit of the connection attempt passed in the pause. Evidence: tests/test_process_pauses.py test_a_connection_that_met_a_pause_does_not_make_an_upstream_avoided without the change in attempt.py: "assert not ['i1']". Ruled out: false promises; nothing had been sent. The cache stores' part has no test of its own. Change: an attempt that met a pause counts as a local failure.

--- a/src/endivelug/forwarding/attempt.py
+++ b/src/endivelug/forwarding/attempt.py
@@ -105,7 +105,8 @@
         writer.check_connected()
         address = placement.instance.address
         idle_s = MAX_IDLE_S if call.repeatable else NON_REPEATABLE_MAX_IDLE_S
-        connect_timeout_s = attempt_limits.connect_timeout_s(call, now=self.clock())
+        connecting_at = self.clock()
+        connect_timeout_s = attempt_limits.connect_timeout_s(call, now=connecting_at)
         try:
             connection = await self.pool.acquire(
                 address,
@@ -114,7 +115,9 @@
                 request_id=call.request.id,
             )
         except UpstreamUnreachable as error:
-            return NotSent(reason=str(error), local=isinstance(error, NoDescriptor))
+            paused = self.pauses.running_since() > connecting_at
+            local = paused or isinstance(error, NoDescriptor)
+            return NotSent(reason=str(error), local=local)
         info: ResponseInfo | None = None
         try:
             # Connecting may have taken a while.
--- a/src/endivelug/forwarding/cache_store_watch.py
+++ b/src/endivelug/forwarding/cache_store_watch.py
@@ -12,6 +12,7 @@
 from endivelug.exceptions import UpstreamUnreachable
 from endivelug.forwarding.cluster_view import ClusterView, LogLine
 from endivelug.forwarding.connection_pool import ConnectionPool
+from endivelug.forwarding.process_pauses import ProcessPauses
 
 CHECK_INTERVAL_S = 0.8
 CONNECT_TIMEOUT_S = 0.3
@@ -37,6 +38,7 @@
         *,
         view: ClusterView,
         pool: ConnectionPool,
+        pauses: ProcessPauses,
         is_needed: Callable[[], bool],
         on_avoid: Callable[[str, float], None],
         clock: Callable[[], float],
@@ -45,6 +47,7 @@
     ) -> None:
         self.view = view
         self.pool = pool
+        self.pauses = pauses
         self.is_needed = is_needed
         self.on_avoid = on_avoid
         self.clock = clock
@@ -63,9 +66,12 @@
 
     async def check(self, address: str) -> None:
         """Connect once; announce the store as unreachable if that fails."""
+        started_at = self.clock()
         try:
             connection = await self.pool.acquire(address, timeout_s=CONNECT_TIMEOUT_S)
         except UpstreamUnreachable as error:
+            if self.pauses.running_since() > started_at:
+                return
             if address not in self.unreachable:
                 self.log("cache-store-gone", address=address, reason=str(error))
             self.unreachable.add(address)
--- a/src/endivelug/forwarding/node.py
+++ b/src/endivelug/forwarding/node.py
@@ -188,6 +188,7 @@
         self.cache_store_watch = CacheStoreWatch(
             view=self.view,
             pool=self.pool,
+            pauses=self.pauses,
             is_needed=self.peers.follows_store,
             on_avoid=lambda address, for_s: self.peers.send_notice(
                 address, NoticeKind.STORE_GONE, for_s
--- a/tests/test_cache_stores.py
+++ b/tests/test_cache_stores.py
@@ -6,6 +6,7 @@
 from endivelug.forwarding.cache_store_watch import CacheStoreWatch
 from endivelug.forwarding.connection_pool import ConnectionPool
 from endivelug.forwarding.copy_sources import CacheLocation, CopySources
+from endivelug.forwarding.process_pauses import ProcessPauses
 from endivelug.forwarding.prompt_cache import PromptSegment
 from forwarding_builders import (
     LogRecorder,
@@ -73,6 +74,7 @@
             watch = CacheStoreWatch(
                 view=view,
                 pool=ConnectionPool(clock=clock),
+                pauses=ProcessPauses(clock=clock),
                 is_needed=lambda: True,
                 on_avoid=lambda address, for_s: avoided.append(address),
                 clock=clock,
--- a/tests/test_process_pauses.py
+++ b/tests/test_process_pauses.py
@@ -13,13 +13,14 @@
 import pytest
 import uvloop
 
+from endivelug.forwarding import attempt_limits
 from endivelug.forwarding.attempt_limits import SAFE_ATTEMPT_SHARE
 from endivelug.forwarding.connection_pool import ConnectionPool
 from endivelug.forwarding.engine_reach import EngineReach, Reach
 from endivelug.forwarding.loop_watch import LoopWatch
 from endivelug.forwarding.process_pauses import PAUSE_S, ProcessPauses
 from endivelug.forwarding.silence_detection import ENGINE_SILENCE_S
-from forwarding_builders import LogRecorder, ManualClock
+from forwarding_builders import LogRecorder, ManualClock, configuration_document
 from platform_standins import response_bytes, running_upstream
 from router_process import PROMPT, metrics_port, run_scenario, wait_until
 from unanswered_connections import FullListener
@@ -144,3 +145,33 @@
     clock.now += PAUSE_S
     assert pauses.running_since() == (clock.now if ticks else float("-inf"))
     assert (pauses.extend(0.0) > clock.now) is ticks
+
+
+# Guards against an upstream that all routers avoid because one router was paused while
+# it connected.
+def test_a_connection_that_met_a_pause_does_not_make_an_upstream_avoided(monkeypatch):
+    monkeypatch.setattr(attempt_limits, "CONNECT_TIMEOUT_S", SYN_RETRY_S)
+    configuration = configuration_document()
+    for route in configuration["routes"]:
+        route["timeoutMs"] = 60_000
+
+    async def scenario(system):
+        (desk,) = system.desks
+        avoided = []
+        system.node.forwarder.on_avoid = lambda name, for_s: avoided.append(name)
+        async with ticking(system.node.loop_watch):
+            with contextlib.closing(FullListener(desk)) as listener:
+                headers = {"X-Deadline-Ms": "60000"}
+                response = asyncio.create_task(
+                    system.request("/look/it", headers=headers)
+                )
+                await listener.wait_for_attempt()
+                listener.accept_again()
+                time.sleep(2 * SYN_RETRY_S)
+                await wait_until(lambda: "attempt-failed" in system.log.events())
+                assert not avoided
+                response.cancel()
+
+    run_scenario(
+        scenario, new_loop=uvloop.new_event_loop, desks=1, configuration=configuration
+    )
