Keep the limit that an upstream states, over all VMs together

Cause: the statement was read and logged, but no decision used it. Change: the part `forwarding/stated_limits` decides at each VM, from what all VMs report, whether a call may be sent to a limited upstream. Retries and continuations count and wait as well. Where all upstreams of a service state a limit, calls whose turn comes too late are refused early with that time.

--- a/src/endivelug/forwarding/dispatcher.py
+++ b/src/endivelug/forwarding/dispatcher.py
@@ -74,7 +74,7 @@
         self.clock = clock
         self.queue = RequestQueue()
         self.admission = AdmissionControl(
-            view=placer.view, queue=self.queue, clock=clock
+            view=placer.view, queue=self.queue, limits=placer.pace.limits, clock=clock
         )
         self.waiters: dict[str, _Waiter] = {}
         self._scheduled = False
@@ -220,6 +220,7 @@
     def add_work(self, call: Call, placement: Placement) -> None:
         """Add a placed call to the work of its instance."""
         self.placer.pace.slow_starts.record_sent(placement.instance.name)
+        self.placer.pace.limits.record_sent(placement.instance)
         self.placer.view.loads.add_work(
             placement.instance.name,
             Work(
--- a/src/endivelug/forwarding/forwarder.py
+++ b/src/endivelug/forwarding/forwarder.py
@@ -257,9 +257,13 @@
     ) -> Placement | None:
         """Return a placement that continues a broken stream from a backup, or None."""
         continuation = await self.recovery.find_continuation(call, placement, outcome)
-        if continuation is None or not self.budget.try_acquire(
-            call.service, now=self.clock()
-        ):
+        if continuation is None:
+            return None
+        limits = self.dispatcher.placer.pace.limits
+        until = min(call.deadline, self.clock() + call.route.gap_target_s)
+        if not await limits.wait_for_turn(continuation.instance, until=until):
+            return None
+        if not self.budget.try_acquire(call.service, now=self.clock()):
             return None
         call.continued = True
         self.dispatcher.add_work(call, continuation)
--- a/src/endivelug/forwarding/node.py
+++ b/src/endivelug/forwarding/node.py
@@ -159,6 +159,7 @@
             log=log,
         )
         self.placer.pace.connect(self.peers)
+        self.placer.pace.limits.vms_share = lambda: self.quotas.limiter.share
         self.orders.last_peer_order_at = self.peers.last_peer_order_at
         self.view.on_weights_observed = self.peers.announce_weights
         self.sync.must_follow = self.peers.follows_store
--- a/src/endivelug/forwarding/overload/admission.py
+++ b/src/endivelug/forwarding/overload/admission.py
@@ -143,6 +143,33 @@
     return estimate
 
 
+def late_at_rate(call: WaitingCall, *, flow: Flow, rate: float) -> Estimate | None:
+    """Return when a call would be sent at a known rate if that is too late, or None.
+
+    Examples
+    --------
+    >>> ahead = QueueAhead(requests=1, tokens=0)
+    >>> call = WaitingCall(ahead=ahead, ahead_when_late=ahead, tokens=0,
+    ...                    until_late_s=0.5, remaining_s=3.0)
+    >>> flow = Flow(period_s=0.0, waiting_s=0.0, sent=0)
+    >>> late_at_rate(call, flow=flow, rate=0.5).wait_s
+    4.0
+    >>> late_at_rate(call, flow=flow, rate=1.0)
+    """
+    wait_s = (call.ahead.requests + 1) / rate
+    if flow.less_urgent_sent > 0 or wait_s <= call.remaining_s:
+        return None
+    return Estimate(
+        ahead=call.ahead.requests,
+        wait_s=wait_s,
+        shortest_wait_s=wait_s,
+        rate=rate,
+        sent=flow.sent,
+        period_s=flow.period_s,
+        remaining_s=call.remaining_s,
+    )
+
+
 def _estimate(
     call: WaitingCall, ahead: QueueAhead, flow: Flow, overtaking: int
 ) -> Estimate:
--- a/src/endivelug/forwarding/overload/control.py
+++ b/src/endivelug/forwarding/overload/control.py
@@ -13,6 +13,7 @@
     Capacity,
     Estimate,
     WaitingCall,
+    late_at_rate,
     late_estimate,
 )
 from endivelug.forwarding.overload.answer_time import AnswerTime
@@ -22,6 +23,7 @@
     QueuedRequest,
     RequestQueue,
 )
+from endivelug.forwarding.stated_limits.stated_limits import StatedLimits
 from endivelug.forwarding.wait_reasons import NoPlacement, WaitReason
 
 # Interval at which the waiting calls of a service are judged again. Each review costs
@@ -106,18 +108,26 @@
     ----------
     queue : RequestQueue
         The waiting calls of this VM.
+    limits : StatedLimits
+        Limits that upstreams state, at which they are full without any slot taken.
 
     Attributes
     ----------
     enabled : bool
-        Whether calls are refused early at all.
+        Whether calls are refused early, except by the limits that upstreams state.
     """
 
     def __init__(
-        self, *, view: ClusterView, queue: RequestQueue, clock: Callable[[], float]
+        self,
+        *,
+        view: ClusterView,
+        queue: RequestQueue,
+        limits: StatedLimits,
+        clock: Callable[[], float],
     ) -> None:
         self.view = view
         self.queue = queue
+        self.limits = limits
         self.clock = clock
         self.enabled = True
         self.services: dict[str, _ServiceState] = {}
@@ -212,9 +222,12 @@
             Time at which the queue was ordered; at a later one, calls that have become
             late would move while a review goes through the queue.
         """
-        if not self.enabled or call.runs or call.streaming:
+        if call.runs or call.streaming:
             # The caller could not be told that it did not run.
             return None
+        limited_rate = self.limits.rate_for(call)
+        if not self.enabled and limited_rate is None:
+            return None
         needed_s = (
             item.expected_s if call.route.generates else state.answer_time.short_s
         )
@@ -226,6 +239,8 @@
             until_late_s=item.late_at - now,
             remaining_s=min(item.expires_at, limit - needed_s) - now,
         )
+        if limited_rate is not None:
+            return late_at_rate(waiting, flow=flow, rate=limited_rate)
         return late_estimate(waiting, flow=flow)
 
     def _refuse(
@@ -233,7 +248,7 @@
     ) -> Overloaded | None:
         """Return the refusal of a call, or None if the upstreams have room."""
         share = self._capacity(call.service).taken_share
-        if share < MIN_TAKEN_SHARE:
+        if share < MIN_TAKEN_SHARE and self.limits.rate_for(call) is None:
             return None
         now = self.clock()
         state.meter.record_refusal(call.priority, now=now)
@@ -257,9 +272,12 @@
                 continue
             total = self.view.loads.total(instance.name)
             own_slots = engine.slots if engine else instance.slots
+            if self.limits.is_limited(instance):
+                # Its free slots and memory are of no use.
+                own_slots = min(own_slots, total.requests)
             slots += own_slots
             taken_slots += min(own_slots, total.requests)
-            if engine is not None:
+            if engine is not None and not self.limits.is_limited(instance):
                 memory += int(MAX_MEMORY_SHARE * engine.cache_tokens)
                 taken_tokens += total.memory_tokens
         return Capacity(
--- a/src/endivelug/forwarding/pace/upstream_pace.py
+++ b/src/endivelug/forwarding/pace/upstream_pace.py
@@ -30,6 +30,10 @@
     budget: SharedRetryBudget
     report_applier: PeerReportApplier
 
+    @property
+    def vms(self) -> int:
+        """Number of live VMs, including this one."""
+
     def send_notice(self, name: str, kind: NoticeKind, for_s: float) -> None:
         """Send an expiring notice to all VMs."""
 
--- a/src/endivelug/forwarding/placement.py
+++ b/src/endivelug/forwarding/placement.py
@@ -190,6 +190,7 @@
         connections = max(
             1, int(CONNECTION_SHARE * service.max_connections / self.fleet.vms)
         )
+        limits = self.pace.limits
         available = []
         for instance in self.view.registry.of_service(service.name):
             load = self.view.loads.of(instance.name)
@@ -198,6 +199,8 @@
                 reason = WaitReason.EXCLUDED
             elif reason is None and len(load.work) >= connections:
                 reason = WaitReason.NO_CONNECTION
+            elif reason is None and limits.shares and not limits.may_send(instance):
+                reason = WaitReason.AT_LIMIT
             if reason is None:
                 available.append((instance, load))
             else:
--- a/src/endivelug/forwarding/stated_limits/known_limits.py
+++ b/src/endivelug/forwarding/stated_limits/known_limits.py
@@ -47,7 +47,7 @@
 class LimitChange:
     """A limit began, has another value, or ended (``per_s`` is None)."""
 
-    name: str
+    incarnation: Incarnation
     per_s: float | None
     before: float | None
     age_s: float
@@ -173,7 +173,11 @@
             source = Source.REPLACED if replaced else Source.EXPIRED
             changes.append(
                 LimitChange(
-                    name=name, per_s=None, before=word.per_s, age_s=age_s, source=source
+                    incarnation=incarnation,
+                    per_s=None,
+                    before=word.per_s,
+                    age_s=age_s,
+                    source=source,
                 )
             )
         return changes
@@ -203,7 +207,7 @@
         if per_s == before:
             return None
         return LimitChange(
-            name=incarnation[0],
+            incarnation=incarnation,
             per_s=per_s,
             before=before,
             age_s=now - stated_at,
--- a/src/endivelug/forwarding/stated_limits/stated_limits.py
+++ b/src/endivelug/forwarding/stated_limits/stated_limits.py
@@ -1,19 +1,25 @@
 """Connects stated limits to the heads of responses, the other VMs and the log."""
 
+import asyncio
 import random
 from collections.abc import Callable
 from typing import Protocol
 
+from endivelug.forwarding.calls import Call
 from endivelug.forwarding.cluster_view import ClusterView
 from endivelug.forwarding.instances import Instance
-from endivelug.forwarding.peer_messages import NoticeKind
+from endivelug.forwarding.peer_messages import NoticeKind, incarnation_name
 from endivelug.forwarding.peer_reports import PeerReportApplier
 from endivelug.forwarding.requests import ResponseInfo
+from endivelug.forwarding.retry_budget import SharedRetryBudget
+from endivelug.forwarding.shared_amounts import SharedAmounts, SharedAmountTable
 from endivelug.forwarding.stated_limits.known_limits import (
     NOTICE_S,
+    Incarnation,
     KnownLimits,
     LimitChange,
 )
+from endivelug.forwarding.stated_limits.limit_share import LimitShare, OthersUse
 from endivelug.forwarding.stated_limits.statement import (
     Limited,
     Unusable,
@@ -22,6 +28,9 @@
     statement_of,
 )
 
+KIND = "limit"
+# Interval at which a send that cannot go to another upstream asks for its turn.
+TURN_CHECK_S = 0.05
 # An upstream whose answers all state an unusable limit gets one log line in this time,
 # and so does one that states another limit in each answer.
 FAULT_LOG_INTERVAL_S = 10.0
@@ -31,19 +40,36 @@
 class Links(Protocol):
     """The links to the other VMs."""
 
+    shared: SharedAmountTable
+    budget: SharedRetryBudget
     report_applier: PeerReportApplier
 
+    @property
+    def vms(self) -> int:
+        """Number of live VMs, including this one."""
+
     def send_notice(self, name: str, kind: NoticeKind, for_s: float) -> None:
         """Send an expiring notice to all VMs."""
 
 
 class StatedLimits:
-    """The limits that upstreams state, as this VM knows them.
+    """The limits that upstreams state, and what this VM may use of them.
 
     Attributes
     ----------
     known : KnownLimits
         Newest words of the upstreams.
+    shares : dict of (str, int) to LimitShare
+        What this VM may use, by incarnation with a limit; empty without any limit.
+    use : SharedAmounts or None
+        Requests and opened windows as ``OthersUse`` has them, by incarnation; None
+        while this VM is not connected to others.
+    vms : callable
+        Returns the number of VMs that report, this one included.
+    vms_share : callable
+        Returns the part of each limit that these VMs may use.
+    weight : callable
+        Returns the weight of this VM among those with calls for a service.
     send_notice : callable
         Sends a notice with a name and its lifetime in seconds.
     """
@@ -57,12 +83,23 @@
     ) -> None:
         self.view = view
         self.clock = clock
+        self.rng = rng
         self.known = KnownLimits(rng=rng)
+        self.shares: dict[Incarnation, LimitShare] = {}
+        self.use: SharedAmounts | None = None
+        self.vms: Callable[[], int] = lambda: 1
+        self.vms_share: Callable[[], float] = lambda: 1.0
+        self.weight: Callable[[str], int] = lambda service: 1
         self.send_notice: Callable[[str, float], None] = lambda name, for_s: None
         self._logged_at: dict[tuple[str, str], float] = {}
 
     def connect(self, peers: Links) -> None:
         """Exchange what is known with the other VMs."""
+        self.use = SharedAmounts(kind=KIND, table=peers.shared)
+        self.vms = lambda: peers.vms
+        self.weight = lambda service: max(
+            1, peers.budget.own(service, now=self.clock()).requests
+        )
         self.send_notice = lambda name, for_s: peers.send_notice(
             name, NoticeKind.LIMIT, for_s
         )
@@ -70,7 +107,68 @@
 
     def count(self) -> int:
         """Return the number of upstreams that state a limit."""
-        return sum(word.per_s is not None for word in self.known.words.values())
+        return len(self.shares)
+
+    def is_limited(self, instance: Instance) -> bool:
+        """Return whether an instance states a limit."""
+        return instance.incarnation in self.shares
+
+    def may_send(self, instance: Instance) -> bool:
+        """Return whether the limit of an instance, if any, allows one more request."""
+        share = self.shares.get(instance.incarnation)
+        if share is None:
+            return True
+        now = self.clock()
+        if not share.has_window(now=now):
+            share.open_window(
+                self._others(instance.incarnation),
+                weight=self.weight(instance.service),
+                now=now,
+            )
+            self._publish(instance.incarnation, share, now)
+        return share.allotment > 0
+
+    async def wait_for_turn(self, instance: Instance, *, until: float) -> bool:
+        """Wait until the limit of an instance allows a request, and return whether."""
+        while not self.may_send(instance):
+            left_s = until - self.clock()
+            if left_s <= 0:
+                return False
+            await asyncio.sleep(min(left_s, TURN_CHECK_S))
+        return True
+
+    def record_sent(self, instance: Instance) -> None:
+        """Count a request that is sent to an instance, for whatever reason."""
+        share = self.shares.get(instance.incarnation) if self.shares else None
+        if share is not None:
+            now = self.clock()
+            share.record_sent(now=now)
+            self._publish(instance.incarnation, share, now)
+
+    def rate_for(self, call: Call) -> float | None:
+        """Return how many requests a second this VM may send for calls like this one.
+
+        Returns
+        -------
+        float or None
+            None unless every instance that can take the call now or soon has a limit.
+        """
+        if not self.shares:
+            return None
+        total, now = 0.0, self.clock()
+        weight = self.weight(call.service)
+        for instance in self.view.registry.of_service(call.service):
+            load = self.view.loads.of(instance.name)
+            if load.silent or instance.name in call.excluded_instances:
+                continue
+            if call.route.generates and not self._serves(instance, call):
+                continue
+            share = self.shares.get(instance.incarnation)
+            if share is None:
+                return None
+            others = self._others(instance.incarnation)
+            total += share.rate / share.competing(others, weight=weight, now=now)
+        return total or None
 
     def record_head(
         self, instance: Instance, info: ResponseInfo, *, request: str
@@ -108,10 +206,12 @@
 
     def exchange(self) -> None:
         """Announce what is due, and drop what is outdated."""
-        if not self.known.words:
+        if not self.known.words or not self.view.complete:
             return
         now = self.clock()
         self._announce(now)
+        for incarnation, share in self.shares.items():
+            self._publish(incarnation, share, now)
         registered = {item.name: item.started_ms for item in self.view.registry.all()}
         for change in self.known.expire(registered, now=now):
             self._apply(change)
@@ -121,30 +221,61 @@
             self.send_notice(notice_name(news), NOTICE_S - age_s)
 
     def _apply(self, change: LimitChange | None) -> None:
-        """Announce and log a change."""
+        """Begin, change or end a limit, announce and log that."""
         if change is None:
             return
-        now = self.clock()
+        now, incarnation = self.clock(), change.incarnation
+        share = self.shares.get(incarnation)
+        if change.per_s is None:
+            self.shares.pop(incarnation, None)
+            if self.use is not None:
+                self.use.set_own(incarnation_name(*incarnation), ())
+            self.view.on_change()
+        elif share is not None:
+            share.limit = change.per_s
+        else:
+            self.shares[incarnation] = LimitShare(
+                limit=change.per_s, credit=self.rng.random()
+            )
         self._announce(now)
         self._log(change, now)
 
+    def _serves(self, instance: Instance, call: Call) -> bool:
+        return self.view.weights_of(instance, call.request.model or "") is not None
+
+    def _others(self, incarnation: Incarnation) -> OthersUse:
+        sent = opened = 0
+        if self.use is not None:
+            values = self.use.others(incarnation_name(*incarnation))
+            # A sum can be below 0 for a moment while reports arrive in parts.
+            sent, opened, *_ = (max(0, value) for value in (*values, 0, 0))
+        return OthersUse(
+            sent=sent, opened=opened, vms=self.vms(), share=self.vms_share()
+        )
+
+    def _publish(self, incarnation: Incarnation, share: LimitShare, now: float) -> None:
+        if self.use is not None:
+            values = (share.sent.total(now=now), share.opened.total(now=now))
+            self.use.set_own(incarnation_name(*incarnation), values)
+
     def _log(self, change: LimitChange, now: float) -> None:
-        age_s, source = round(change.age_s, 2), change.source.value
+        name, source = change.incarnation[0], change.source.value
+        age_s = round(change.age_s, 2)
         if change.per_s is None:
             self.view.log(
                 "limit-ended",
-                instance=change.name,
+                instance=name,
                 limit=change.before,
                 age_s=age_s,
                 source=source,
             )
             return
-        may_log = self._may_log("change", change.name, CHANGE_LOG_INTERVAL_S, now)
+        may_log = self._may_log("change", name, CHANGE_LOG_INTERVAL_S, now)
         if change.before is not None and not may_log:
             return
         self.view.log(
             "limit-stated",
-            instance=change.name,
+            instance=name,
             limit=change.per_s,
             before=change.before,
             age_s=age_s,
--- a/src/endivelug/forwarding/wait_reasons.py
+++ b/src/endivelug/forwarding/wait_reasons.py
@@ -18,6 +18,8 @@
         The instance refused or failed requests just now.
     RETRY_LATER : str
         The instance refused a request and stated when to try again.
+    AT_LIMIT : str
+        The instance states how many requests it takes, and this VM has used its part.
     WARMING : str
         The instance has started or come back just now and gets few requests as yet.
     ORDERED : str
@@ -46,6 +48,7 @@
     SILENT = "silent"
     AVOIDED = "refused or failed just now"
     RETRY_LATER = "asked to be retried later"
+    AT_LIMIT = "at the limit that it states"
     WARMING = "started or came back just now"
     ORDERED = "loads new weights"
     OUTDATED = "weights too old"
--- a/tests/linked_nodes.py
+++ b/tests/linked_nodes.py
@@ -16,10 +16,11 @@
 
 
 class LinkedNodes:
-    """Linked nodes, and upstreams of the service ``desk``."""
+    """Linked nodes, their store, and upstreams of the service ``desk``."""
 
-    def __init__(self, nodes, desks, logs):
+    def __init__(self, nodes, store, desks, logs):
         self.nodes = nodes
+        self.store = store
         self.desks = desks
         self.logs = logs
 
@@ -96,7 +97,7 @@
             await wait_until(
                 lambda: all(node.peers.vms == nodes for node in running), 8
             )
-            yield LinkedNodes(running, upstreams, logs)
+            yield LinkedNodes(running, store, upstreams, logs)
         finally:
             for task in tasks:
                 task.cancel()
