Keep the other calls in the queue when one waits again

Cause: a queue level found a request's section by the call's key. A call that was refused by an upstream and waits again has the same key; when the time of its first wait to become late came, the level moved that old entry, removed another call's entry instead and entered the old one. Ruled out: the limits themselves; the queue test uses none, and the fault is in the base. Fix: sections are found by the number of the queue entry, which no other entry has.

--- a/src/endivelug/forwarding/request_queue.py
+++ b/src/endivelug/forwarding/request_queue.py
@@ -87,8 +87,8 @@
     sections : list of _Section
         Returning and new callers that can be on time, returning and new ones that are
         late, in the order of sending.
-    section_of : dict of str to int
-        Section of each request.
+    section_of : dict of int to int
+        Section of each request, by its number: one that waits again has another.
     becoming_late : list
         Heap of the requests that can be on time, by the time at which they become late;
         requests that have left remain in it until then.
@@ -97,7 +97,7 @@
     sections: list[_Section] = field(
         default_factory=lambda: [_Section() for _ in range(4)]
     )
-    section_of: dict[str, int] = field(default_factory=dict)
+    section_of: dict[int, int] = field(default_factory=dict)
     becoming_late: list[tuple[float, int, QueuedRequest]] = field(default_factory=list)
 
     def add(self, item: QueuedRequest) -> None:
@@ -105,19 +105,19 @@
         heapq.heappush(self.becoming_late, (item.late_at, item.number, item))
 
     def remove(self, item: QueuedRequest) -> None:
-        self.sections[self.section_of.pop(item.request)].remove(item)
+        self.sections[self.section_of.pop(item.number)].remove(item)
 
     def advance(self, now: float) -> None:
         """Move the requests that have become late."""
         while self.becoming_late and self.becoming_late[0][0] <= now:
             item = heapq.heappop(self.becoming_late)[2]
-            if self.section_of.get(item.request, 2) < 2:
+            if self.section_of.get(item.number, 2) < 2:
                 self.remove(item)
                 self._put(item, 2 if item.returning else 3)
 
     def ahead_of(self, item: QueuedRequest) -> QueueAhead:
         """Return the requests before this one; their tokens are an estimate."""
-        index = self.section_of[item.request]
+        index = self.section_of[item.number]
         section = self.sections[index]
         position = section.position(item)
         before = self.sections[:index]
@@ -130,7 +130,7 @@
 
     def _put(self, item: QueuedRequest, index: int) -> None:
         self.sections[index].add(item)
-        self.section_of[item.request] = index
+        self.section_of[item.number] = index
 
 
 @dataclass(slots=True, kw_only=True)
@@ -191,7 +191,7 @@
         level = self.levels[item.service][item.priority]
         level.advance(now)
         on_time = level.sections[:2]
-        own = level.section_of[request] < 2
+        own = level.section_of[item.number] < 2
         return self._with_more_urgent(
             item,
             QueueAhead(
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -56,6 +56,28 @@
     assert send_order(queue) == ["on time", "late", "hopeless"]
 
 
+# Guards against a request that waits twice, because it was refused meanwhile: what is
+# left of its first time in the queue must not move or remove another request.
+def test_a_request_that_waits_again_leaves_the_others_in_the_queue():
+    queue = make_queue(("a", 1, 11.5, {}), ("twice", 1, 11.0, {"expected_s": 0.5}))
+    queue.remove("twice")
+    for request, target_at in (("twice", 12.0), ("b", 12.5)):
+        queue.add(
+            QueuedRequest(
+                request=request,
+                service="s",
+                priority=1,
+                returning=False,
+                target_at=target_at,
+                expires_at=100.0,
+            )
+        )
+    assert send_order(queue, now=10.8) == ["a", "twice", "b"]
+    for request in ("twice", "a", "b"):
+        queue.remove(request)
+    assert send_order(queue, now=10.8) == []
+
+
 # Guards against queueing callers last again that came back after the Retry-After time.
 def test_returning_callers_are_sent_before_new_ones():
     queue = make_queue(("new", 1, 11.0, {}), ("back", 1, 12.0, {"returning": True}))
