Let a call that fails when it begins to wait leave the queue

Cause: a call entered the queue before its waiter was registered. Change: the waiter is registered first, and both are removed in the same `finally`. Evidence: pytest tests/test_waiting.py -k fails_to_wait failed on the code before (the entry was still in the queue).

--- a/src/endivelug/forwarding/dispatcher.py
+++ b/src/endivelug/forwarding/dispatcher.py
@@ -140,14 +140,13 @@
             asyncio.get_running_loop().create_future()
         )
         self.queue.add(item)
-        refusal = self.admission.begin_waiting(call, item)
-        if refusal is not None:
-            self._end_waiting(item)
-            return refusal
         self.waiters[key] = _Waiter(call=call, future=future)
-        self._has_waiters.set()
-        self.schedule_assignment()
         try:
+            refusal = self.admission.begin_waiting(call, item)
+            if refusal is not None:
+                return refusal
+            self._has_waiters.set()
+            self.schedule_assignment()
             async with asyncio.timeout(max(0.0, expires_at - self.clock())):
                 return await future
         except TimeoutError:
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -1,6 +1,7 @@
 import asyncio
 import random
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -274,3 +275,29 @@
 
     dispatcher.admission.review("engines", call_of)
     assert seen == [item.request for item in items]
+
+
+# Guards against a call that fails when it begins to wait, stays in the queue, and so
+# keeps all calls of the VM waiting for ever.
+def test_a_call_that_fails_to_wait_leaves_the_queue(monkeypatch):
+    placer = make_placer([64])
+    dispatcher = Dispatcher(placer=placer, clock=placer.clock)
+    begin_waiting = dispatcher.admission.begin_waiting
+
+    def fail(call, item):
+        begin_waiting(call, item)
+        raise ValueError
+
+    async def scenario():
+        monkeypatch.setattr(dispatcher.admission, "begin_waiting", fail)
+        with pytest.raises(ValueError):
+            await dispatcher.place(make_call(), expires_at=110.0, returning=False)
+        assert not dispatcher.queue.requests
+        assert not dispatcher.waiters
+        placer.view.loads.neighbours.set("vm2", "e1", Load(requests=1))
+        placement = await dispatcher.place(
+            make_call(), expires_at=110.0, returning=False
+        )
+        assert placement.instance.name == "e1"
+
+    asyncio.run(scenario())
