Test that a VM without links uses its share of a stated limit

Guards the connection of the limits to the number of VMs that report, which the tests on the virtual clock do not have.

--- a/tests/test_stated_limits_path.py
+++ b/tests/test_stated_limits_path.py
@@ -148,3 +148,24 @@
         assert len(continued) == continues
 
     run_scenario(scenario, engines=2, configuration=unrepeatable_streams())
+
+
+# Guards against a VM without links that uses more than its share of a limit.
+def test_a_vm_without_links_uses_its_share():
+    async def scenario():
+        async with asyncio.timeout(60), running_nodes(nodes=3, desks=1) as system:
+            *_, cut = system.nodes
+            cut.peers.targets.update = lambda *targets, **linked: None
+            await cut.peers.close()
+            await wait_until(
+                lambda: limits_of(cut).vms_share() == pytest.approx(1 / 3), 15
+            )
+            system.desks[0].script = limited([], limit=3)
+            await system.request(2, "first")
+            await wait_for_counts([cut], 1)
+            (instance,) = cut.view.registry.of_service("desk")
+            limits_of(cut).may_send(instance)
+            (share,) = limits_of(cut).shares.values()
+            assert share.rate <= 3 / 3
+
+    asyncio.run(scenario())
