--- a/src/endivelug/forwarding/dispatcher.py
+++ b/src/endivelug/forwarding/dispatcher.py
@@ -74,7 +74,7 @@
         self.clock = clock
         self.queue = RequestQueue()
         self.admission = AdmissionControl(
-            view=placer.view, queue=self.queue, clock=clock
+            view=placer.view, queue=self.queue, limits=placer.pace.limits, clock=clock
         )
         self.waiters: dict[str, _Waiter] = {}
         self._scheduled = False
@@ -140,14 +140,13 @@
             asyncio.get_running_loop().create_future()
         )
         self.queue.add(item)
-        refusal = self.admission.begin_waiting(call, item)
-        if refusal is not None:
-            self._end_waiting(item)
-            return refusal
         self.waiters[key] = _Waiter(call=call, future=future)
-        self._has_waiters.set()
-        self.schedule_assignment()
         try:
+            refusal = self.admission.begin_waiting(call, item)
+            if refusal is not None:
+                return refusal
+            self._has_waiters.set()
+            self.schedule_assignment()
             async with asyncio.timeout(max(0.0, expires_at - self.clock())):
                 return await future
         except TimeoutError:
@@ -220,6 +219,7 @@
     def add_work(self, call: Call, placement: Placement) -> None:
         """Add a placed call to the work of its instance."""
         self.placer.pace.slow_starts.record_sent(placement.instance.name)
+        self.placer.pace.limits.record_sent(placement.instance)
         self.placer.view.loads.add_work(
             placement.instance.name,
             Work(
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -1,6 +1,7 @@
 import asyncio
 import random
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -56,6 +57,28 @@
     assert send_order(queue) == ["on time", "late", "hopeless"]
 
 
+# Guards against a request that waits twice, because it was refused meanwhile: what is
+# left of its first time in the queue must not move or remove another request.
+def test_a_request_that_waits_again_leaves_the_others_in_the_queue():
+    queue = make_queue(("a", 1, 11.5, {}), ("twice", 1, 11.0, {"expected_s": 0.5}))
+    queue.remove("twice")
+    for request, target_at in (("twice", 12.0), ("b", 12.5)):
+        queue.add(
+            QueuedRequest(
+                request=request,
+                service="s",
+                priority=1,
+                returning=False,
+                target_at=target_at,
+                expires_at=100.0,
+            )
+        )
+    assert send_order(queue, now=10.8) == ["a", "twice", "b"]
+    for request in ("twice", "a", "b"):
+        queue.remove(request)
+    assert send_order(queue, now=10.8) == []
+
+
 # Guards against queueing callers last again that came back after the Retry-After time.
 def test_returning_callers_are_sent_before_new_ones():
     queue = make_queue(("new", 1, 11.0, {}), ("back", 1, 12.0, {"returning": True}))
@@ -252,3 +275,29 @@
 
     dispatcher.admission.review("engines", call_of)
     assert seen == [item.request for item in items]
+
+
+# Guards against a call that fails when it begins to wait, stays in the queue, and so
+# keeps all calls of the VM waiting for ever.
+def test_a_call_that_fails_to_wait_leaves_the_queue(monkeypatch):
+    placer = make_placer([64])
+    dispatcher = Dispatcher(placer=placer, clock=placer.clock)
+    begin_waiting = dispatcher.admission.begin_waiting
+
+    def fail(call, item):
+        begin_waiting(call, item)
+        raise ValueError
+
+    async def scenario():
+        monkeypatch.setattr(dispatcher.admission, "begin_waiting", fail)
+        with pytest.raises(ValueError):
+            await dispatcher.place(make_call(), expires_at=110.0, returning=False)
+        assert not dispatcher.queue.requests
+        assert not dispatcher.waiters
+        placer.view.loads.neighbours.set("vm2", "e1", Load(requests=1))
+        placement = await dispatcher.place(
+            make_call(), expires_at=110.0, returning=False
+        )
+        assert placement.instance.name == "e1"
+
+    asyncio.run(scenario())
