Use no connection again on which something is unread

Callers saw: 502 for a request that may run only once and was sent on an idle connection that its upstream had closed, although another connection would have carried it. Cause: the pool asked the state of the connection that the event loop knew. Bytes or the end of a connection that the kernel holds were not seen, for one turn of the loop or, after a pause, for as long as the pause. Such bytes would be read as the answer to the next request. Evidence: tests/test_late_copies.py test_a_connection_with_something_unread_is_not_used_again on the code before: "assert 1 == 2" connections, after an end and after stray bytes. Ruled out: answers that name another request; these are skipped. Change: an idle connection is polled once before it carries a request.

--- a/src/endivelug/forwarding/connection_pool.py
+++ b/src/endivelug/forwarding/connection_pool.py
@@ -163,7 +163,7 @@
             if usable and use is Use.CALLS and request in connection.carried:
                 continue
             entries.remove(entry)
-            if usable:
+            if usable and not connection.has_unread:
                 return connection
             connection.abort()
         return None
--- a/src/endivelug/forwarding/socket_options.py
+++ b/src/endivelug/forwarding/socket_options.py
@@ -1,7 +1,8 @@
-"""Options of the sockets of connections to upstreams."""
+"""Options and state of the sockets of connections to upstreams."""
 
 import asyncio
 import fcntl
+import select
 import socket
 import struct
 import termios
@@ -39,3 +40,17 @@
         count = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
         if any(count):
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _DISCARD_UNSENT)
+
+
+def has_unread(transport: asyncio.Transport) -> bool:
+    """Return whether the kernel holds bytes, or the end, that were not read yet.
+
+    The event loop learns of them in one of its next turns, after a pause of the process
+    only once all expired timers have run.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return False
+    poller = select.poll()
+    poller.register(sock.fileno(), select.POLLIN | select.POLLRDHUP)
+    return bool(poller.poll(0))
--- a/src/endivelug/forwarding/upstream_connection.py
+++ b/src/endivelug/forwarding/upstream_connection.py
@@ -27,7 +27,7 @@
     ResponseParser,
     new_parser,
 )
-from endivelug.forwarding.socket_options import discard_unsent, set_options
+from endivelug.forwarding.socket_options import discard_unsent, has_unread, set_options
 
 # Reading from the socket pauses when more received body bytes than this are unread:
 # hundreds of events of a stream, while its caller pauses.
@@ -268,6 +268,11 @@
             and self._transport.get_write_buffer_size() == 0
         )
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether the upstream has sent or closed something that was not read yet."""
+        return has_unread(self._transport)
+
     def abort(self) -> None:
         """Close at once, so that the upstream notices immediately.
 
--- a/tests/test_late_copies.py
+++ b/tests/test_late_copies.py
@@ -1,6 +1,8 @@
 """Upstreams that send an answer once more, late, on a connection in use again."""
 
 import asyncio
+import os
+import socket
 import time
 
 import pytest
@@ -8,6 +10,7 @@
 from endivelug.exceptions import UpstreamUnreachable
 from endivelug.forwarding.connection_pool import MAX_REQUESTS, ConnectionPool
 from endivelug.forwarding.engine_reach import Reach
+from endivelug.forwarding.upstream_connection import RequestHead
 from endivelug.forwarding.weights_rollout import OrderReply, WeightsOrder
 from endivelug.platform.engine_calls import EngineCalls
 from forwarding_builders import make_instance
@@ -127,6 +130,32 @@
     asyncio.run(run())
 
 
+# Guards against a request that is lost, or answered by what came before it, on a
+# connection that its upstream has closed or written to; a pause delays the news of it.
+@pytest.mark.parametrize("data", [b"", b"HTTP/1.1 408 \r\n\r\n"], ids=["end", "bytes"])
+def test_a_connection_with_something_unread_is_not_used_again(data):
+    async def scenario(pool, upstream):
+        writers = []
+
+        async def script(exchange):
+            writers.append(exchange.writer)
+            await exchange.respond()
+
+        upstream.script = script
+        head = RequestHead(method="GET", target="/", headers=[("Host", "h")])
+        await pool.request(upstream.address, head, timeout_s=5.0)
+        peer = writers[0].get_extra_info("socket")
+        if data:
+            os.write(peer.fileno(), data)
+        else:
+            peer.shutdown(socket.SHUT_WR)
+        # The event loop does not run in between.
+        await pool.acquire(upstream.address, timeout_s=5.0)
+        assert pool.opened_total == 2
+
+    run_with_pool(scenario)
+
+
 # Guards against a connection that carries a request twice, while one that can carry it
 # is left unused.
 def test_a_connection_is_given_to_other_requests_only():
