--- a/src/endivelug/forwarding/stated_limits/limit_share.py
+++ b/src/endivelug/forwarding/stated_limits/limit_share.py
@@ -11,7 +11,7 @@
 import math
 from dataclasses import dataclass, field
 
-from endivelug.forwarding.retry_budget import WindowCount
+from endivelug.forwarding.window_count import WindowCount
 
 # Part of the limit that is used; the rest covers weights that have risen since the last
 # reports.
--- a/src/endivelug/forwarding/stated_limits/stated_limits.py
+++ b/src/endivelug/forwarding/stated_limits/stated_limits.py
@@ -255,8 +255,8 @@
 
     def _publish(self, incarnation: Incarnation, share: LimitShare, now: float) -> None:
         if self.use is not None:
-            values = (share.sent.total(now=now), share.opened.total(now=now))
-            self.use.set_own(incarnation_name(*incarnation), values)
+            counts = (share.sent.total(now=now), share.opened.total(now=now))
+            self.use.set_own(incarnation_name(*incarnation), map(int, counts))
 
     def _log(self, change: LimitChange, now: float) -> None:
         name, source = change.incarnation[0], change.source.value
