Take only requests that fit into a planned stop, and answer what is left

What callers saw: around a SIGTERM, in calm, requests that came during the notice of 2.3 s were taken although they lasted longer than the rest of the grace, and at its end they were cut without an answer, among them requests that may not be repeated, and requests that had only waited at this VM. The log had them as callers that left.

Cause: a stop knew when to refuse new requests, but not by when the taken ones have to end; at that time it closed their connections, and a cancelled request counts as one whose caller left.

Change: `planned_stop` holds the time by which calls have to end. A call whose deadline lies beyond is refused ("not run", Retry-After, Connection: close) if calls of its route usually take longer than what is left (mean plus deviation, measured; the route's target where none was delivered yet), on arrival and after waiting for an upstream. 0.2 s before the margin for closing, what is in progress is answered: 503 if it was not sent, 502 if it was, a visible break of a stream, each with its line in the log.

Ruled out: requests on open connections after the notice; they are refused with 503 already. Weights orders are not sent after SIGTERM.

--- a/src/endivelug/forwarding/error_responses.py
+++ b/src/endivelug/forwarding/error_responses.py
@@ -121,6 +121,16 @@
             )
             await self.send(call.request.id, writer, 503, reason, retry_after_s)
 
+    async def fail_stopped(self, call: Call, writer: Writer) -> None:
+        """End a call that is still in progress when this VM stops."""
+        reason = "this VM has stopped before the call ended"
+        if call.streaming or not writer.head_sent:
+            await self.fail(call, writer, None, reason)
+            return
+        if not call.recorded_end:
+            self.recorder.record_undelivered(call, "broken", reason)
+        writer.abort()
+
     async def fail_unforeseen(
         self, call: Call, writer: Writer, error: Exception
     ) -> None:
--- a/src/endivelug/forwarding/forwarder.py
+++ b/src/endivelug/forwarding/forwarder.py
@@ -29,6 +29,7 @@
 from endivelug.forwarding.error_responses import ErrorResponses
 from endivelug.forwarding.front_server import Writer
 from endivelug.forwarding.placement import Placement
+from endivelug.forwarding.planned_stop import Stopping, StopTimes
 from endivelug.forwarding.quotas.quota_gate import QuotaGate
 from endivelug.forwarding.refused_callers import RefusedCallers, request_digest
 from endivelug.forwarding.requests import InboundRequest, WireFormat
@@ -63,6 +64,8 @@
     ----------
     closed : bool
         Whether new requests are refused because this VM is stopping.
+    stop_times : StopTimes
+        When the calls in progress have to end, if this VM is stopping.
     """
 
     def __init__(
@@ -102,6 +105,7 @@
         self.on_sending = on_sending
         self.on_ended = on_ended
         self.closed = False
+        self.stop_times = StopTimes()
         self.admission = Admission(
             wire=wire,
             view=view,
@@ -112,6 +116,10 @@
             serve=self._serve_request,
         )
 
+    def close(self) -> None:
+        """Refuse new requests."""
+        self.closed = True
+
     async def handle(
         self, method: str, target: str, headers: Headers, body: bytes, writer: Writer
     ) -> None:
@@ -147,8 +155,10 @@
         except CallerLeft:
             self.recorder.record_left(call)
         except asyncio.CancelledError:
-            self.recorder.record_left(call)
-            raise
+            if not self.stop_times.ending or writer.disconnected:
+                self.recorder.record_left(call)
+                raise
+            await self.errors.fail_stopped(call, writer)
         except Exception as error:
             await self.errors.fail_unforeseen(call, writer, error)
         finally:
@@ -230,6 +240,8 @@
             if isinstance(outcome, Delivered):
                 self.dispatcher.admission.record_answer(call, self.clock() - sent_at)
                 self.recorder.record_delivered(call, name)
+                taken_s = self.clock() - call.request.received_at
+                self.stop_times.record_delivered(call.route.name, taken_s)
                 return
             self._record_failure(call, placement, outcome)
             if isinstance(outcome, Failed):
@@ -242,15 +254,26 @@
     async def _place(self, call: Call) -> Placement | NoPlacement:
         if not self.dispatcher.placer.has_instances(call):
             return NoPlacement()
+        if not self._may_begin(call):
+            return Stopping()
         min_run_s = MIN_GENERATION_S if call.route.generates else MIN_PLAIN_S
         expires_at = min(call.deadline, call.caller_abandons_at) - min_run_s
         digest = request_digest(call)
         returning = digest is not None and self.refused.is_returning(
             digest, now=self.clock()
         )
-        return await self.dispatcher.place(
+        placement = await self.dispatcher.place(
             call, expires_at=expires_at, returning=returning
         )
+        if isinstance(placement, Placement) and not self._may_begin(call):
+            self.dispatcher.remove_work(call, placement)
+            self.dispatcher.schedule_assignment()
+            return Stopping()
+        return placement
+
+    def _may_begin(self, call: Call) -> bool:
+        """Return whether a call has begun already, or ends before this VM stops."""
+        return call.runs > 0 or self.stop_times.fits(call, now=self.clock())
 
     async def _find_continuation(
         self, call: Call, placement: Placement, outcome: AttemptOutcome
--- a/src/endivelug/forwarding/front_server.py
+++ b/src/endivelug/forwarding/front_server.py
@@ -270,6 +270,14 @@
         """Refuse new connections."""
         self.acceptor.stop()
 
+    async def end_requests(self, *, timeout_s: float) -> None:
+        """Cancel the requests in progress, and wait until they have ended."""
+        tasks = list(self.tasks.values())
+        for task in tasks:
+            task.cancel()
+        if tasks:
+            await asyncio.wait(tasks, timeout=timeout_s)
+
     def close_idle(self) -> None:
         """Close the connections on which no request has begun."""
         self.idle.close_all()
--- a/src/endivelug/forwarding/node.py
+++ b/src/endivelug/forwarding/node.py
@@ -36,6 +36,7 @@
 from endivelug.forwarding.peer_messages import NoticeKind
 from endivelug.forwarding.peers import Peers
 from endivelug.forwarding.placement import OLD_WEIGHTS_MARGIN_S, Placer
+from endivelug.forwarding.planned_stop import SHUTDOWN_MARGIN_S, PlannedStop
 from endivelug.forwarding.quotas.quota_gate import make_quota_gate
 from endivelug.forwarding.refused_callers import RefusedCallers
 from endivelug.forwarding.retry_budget import SharedRetryBudget
@@ -49,11 +50,6 @@
 from endivelug.lease_keeper import LeaseKeeper, boot_clock
 from endivelug.links import Identity
 
-# The platform sends new connections for this long after the readiness check begins to
-# fail: it checks once a second and acts on the second failure.
-READINESS_NOTICE_S = 2.3
-# Rest of the grace period, to close connections and exit before the process is killed.
-SHUTDOWN_MARGIN_S = 0.6
 # Links to the peers are up and weights orders are sent within this time after a start.
 STARTUP_S = 3.0
 # Additional delay of each further candidate before it tries to acquire the lease.
@@ -214,6 +210,13 @@
         self.front_server = make_front_server(
             self.forwarder, settings=settings, metrics=self.metrics
         )
+        self.stop = PlannedStop(
+            front_server=self.front_server,
+            times=self.forwarder.stop_times,
+            refuse_requests=self.forwarder.close,
+            clock=self.clock,
+            log=log,
+        )
         self.status_pages = StatusPages(
             metrics=self.metrics,
             is_ready=lambda: self.is_ready,
@@ -371,17 +374,9 @@
     async def _shut_down(self) -> None:
         """Release the order lease, finish the requests in progress and close."""
         end_at = self.clock() + self.settings.grace_s - SHUTDOWN_MARGIN_S
-        self.stopping = self.orders.stopping = self.front_server.closing = True
-        self.log("stopping", in_progress=len(self.front_server.tasks))
+        self.stopping = self.orders.stopping = True
         await self.lease_keeper.resign()
-        await asyncio.sleep(READINESS_NOTICE_S)
-        # The only VM of a data centre gets new connections until it refuses them.
-        self.front_server.stop_accepting()
-        self.forwarder.closed = True
-        while self.clock() < end_at and self.front_server.tasks:
-            self.front_server.close_idle()
-            await asyncio.sleep(0.05)
-        self.log("stopped", left=len(self.front_server.tasks))
+        await self.stop.run(end_at=end_at)
         await self._close()
 
     async def _close(self) -> None:
--- /dev/null
+++ b/src/endivelug/forwarding/planned_stop.py
@@ -0,0 +1,120 @@
+"""Planned stop of a VM: which calls still fit into it, and how it ends them."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from endivelug.forwarding.calls import Call
+from endivelug.forwarding.cluster_view import LogLine
+from endivelug.forwarding.front_server import FrontServer
+from endivelug.forwarding.overload.answer_time import AnswerTime
+from endivelug.forwarding.wait_reasons import NoPlacement, WaitReason
+
+# The platform sends new connections for this long after the readiness check begins to
+# fail: it checks once a second and acts on the second failure.
+READINESS_NOTICE_S = 2.3
+# Rest of the grace period, to close connections and exit before the process is killed.
+SHUTDOWN_MARGIN_S = 0.6
+# Time before that in which the calls that are still in progress get their answers.
+FINAL_ANSWERS_S = 0.2
+CHECK_INTERVAL_S = 0.05
+
+
+@dataclass(slots=True, kw_only=True)
+class Stopping(NoPlacement):
+    """The call would not end before this VM stops, and is not sent."""
+
+    reasons: Counter[WaitReason] = field(
+        default_factory=lambda: Counter({WaitReason.STOPPING: 1})
+    )
+
+    def __str__(self) -> str:
+        """Return the reason in words."""
+        return "this VM is stopping, and the call would not end before"
+
+
+@dataclass(slots=True, kw_only=True)
+class StopTimes:
+    """When calls have to end, and how long those of each route take.
+
+    Attributes
+    ----------
+    calls_end_at : float
+        Time by which calls have to end; infinite unless this VM is stopping.
+    answer_times : dict of str to AnswerTime
+        Times from a request to the end of its answer, by route.
+    ending : bool
+        Whether the calls in progress are being ended.
+
+    Examples
+    --------
+    >>> times = StopTimes()
+    >>> times.record_delivered("r", 2.0)
+    >>> times.expected_s("r", default=0.5), times.expected_s("other", default=0.5)
+    (3.0, 0.5)
+    """
+
+    calls_end_at: float = float("inf")
+    answer_times: dict[str, AnswerTime] = field(default_factory=dict)
+    ending: bool = False
+
+    def record_delivered(self, route: str, seconds: float) -> None:
+        """Record how long a call took from its request to the end of its answer."""
+        self.answer_times.setdefault(route, AnswerTime()).observe(seconds)
+
+    def expected_s(self, route: str, *, default: float) -> float:
+        """Return the time in which most calls of a route have been answered."""
+        known = self.answer_times.get(route)
+        return default if known is None else known.mean_s + known.deviation_s
+
+    def fits(self, call: Call, *, now: float) -> bool:
+        """Return whether a call that begins now ends before this VM stops."""
+        if call.deadline <= self.calls_end_at:
+            return True
+        route = call.route
+        expected_s = self.expected_s(route.name, default=route.target_s)
+        return now + expected_s <= self.calls_end_at
+
+
+class PlannedStop:
+    """Refuses and ends the requests of a VM within its grace period.
+
+    Parameters
+    ----------
+    refuse_requests : callable
+        Makes the VM refuse the requests that come on open connections.
+    """
+
+    def __init__(
+        self,
+        *,
+        front_server: FrontServer,
+        times: StopTimes,
+        refuse_requests: Callable[[], None],
+        clock: Callable[[], float],
+        log: LogLine,
+    ) -> None:
+        self.front_server = front_server
+        self.times = times
+        self.refuse_requests = refuse_requests
+        self.clock = clock
+        self.log = log
+
+    async def run(self, *, end_at: float) -> None:
+        """Serve on during the notice, then finish what is in progress until a time."""
+        server = self.front_server
+        server.closing = True
+        self.log("stopping", in_progress=len(server.tasks))
+        self.times.calls_end_at = end_at - FINAL_ANSWERS_S
+        await asyncio.sleep(READINESS_NOTICE_S)
+        # The only VM of a data centre gets new connections until it refuses them.
+        server.stop_accepting()
+        self.refuse_requests()
+        while self.clock() < self.times.calls_end_at and server.tasks:
+            server.close_idle()
+            await asyncio.sleep(CHECK_INTERVAL_S)
+        left = len(server.tasks)
+        self.times.ending = True
+        await server.end_requests(timeout_s=FINAL_ANSWERS_S)
+        self.log("stopped", left=left)
--- a/src/endivelug/forwarding/wait_reasons.py
+++ b/src/endivelug/forwarding/wait_reasons.py
@@ -40,6 +40,8 @@
         Another instance prefills a shared segment of the prompt, which is waited for.
     OVERLOADED : str
         The call would be sent too late for its caller.
+    STOPPING : str
+        This VM is stopping, and the call would not end before.
     """
 
     NOT_REGISTERED = "no instance is registered"
@@ -58,6 +60,7 @@
     QUEUED = "other requests go first"
     PREFILLING = "another one prefills the prefix"
     OVERLOADED = "it would be sent too late"
+    STOPPING = "this VM is stopping"
 
 
 @dataclass(slots=True, kw_only=True)
--- a/tests/misbehaving_clients.py
+++ b/tests/misbehaving_clients.py
@@ -31,11 +31,11 @@
 class RouterProcess:
     """The product's own process on a loopback address of its own."""
 
-    def __init__(self, process, front, desk, engine):
+    def __init__(self, process, front, ready, log_path):
         self.process = process
         self.front = front
-        self.desk = desk
-        self.engine = engine
+        self.ready = ready
+        self.log_path = log_path
 
     @property
     def peak_bytes(self):
@@ -66,7 +66,9 @@
 
 
 @contextlib.asynccontextmanager
-async def running_process(folder, *, memory_mb=MEMORY_MB):
+async def running_process(
+    folder, *, memory_mb=MEMORY_MB, timeout_ms=5000, grace_s=BOUNDS["graceS"], slots=64
+):
     """Start the process with lowered limits against stand-ins."""
     async with contextlib.AsyncExitStack() as stack:
         store = await stack.enter_async_context(running_store())
@@ -77,10 +79,10 @@
         document["limits"]["headerTimeoutMs"] = 3000
         document["limits"]["idleTimeoutMs"] = 15000
         for route in document["routes"]:
-            route["timeoutMs"] = 5000
+            route["timeoutMs"] = timeout_ms
         store.put("op", "config", document)
         registration = registration_document(
-            service="desk", models=[], address=desk.address
+            service="desk", models=[], address=desk.address, slots=slots
         )
         store.put("servers", "d0", registration)
         store.put("servers", "e0", registration_document(address=engine.address))
@@ -93,7 +95,7 @@
             "ip": ip,
             "listenAddrs": {"front": front, "ready": f"{ip}:{free_port()}"},
             "internalPorts": [free_port(), free_port()],
-            "bounds": BOUNDS,
+            "bounds": {**BOUNDS, "graceS": grace_s},
             "limits": {"memoryMb": memory_mb, "maxFds": MAX_FDS},
             "platform": {"address": store.address},
         }
@@ -107,7 +109,10 @@
                 stdout=log,
                 stderr=log,
             )
-        running = RouterProcess(process, front, desk, engine)
+        running = RouterProcess(
+            process, front, settings["listenAddrs"]["ready"], path.with_suffix(".log")
+        )
+        running.desk, running.engine, running.store = desk, engine, store
         try:
             await _wait_until_serving(running)
             yield running
