Do not wait for the store before a planned stop begins

What callers saw: requests were taken, and passed on, later than 3 s after SIGTERM, when less of the grace was left than they needed.

Cause: the notice of 2.3 s began only after the order lease had been given back. A store that does not answer delays that by its time limit of 1 s, and by that of a renewal in progress.

Change: the lease is given back beside the notice, and given up with the other jobs when the process closes. No order is sent after SIGTERM in either case.

--- a/src/endivelug/forwarding/node.py
+++ b/src/endivelug/forwarding/node.py
@@ -375,7 +375,8 @@
         """Release the order lease, finish the requests in progress and close."""
         end_at = self.clock() + self.settings.grace_s - SHUTDOWN_MARGIN_S
         self.stopping = self.orders.stopping = True
-        await self.lease_keeper.resign()
+        # Cancelled with the other jobs if the store does not answer.
+        self.jobs.start(self.lease_keeper.resign)
         await self.stop.run(end_at=end_at)
         await self._close()
 
