Do not take an unreadable answer to a probe for a complete one

What was seen: an upstream whose answer to a probe turned into something else within its body, or stated a body above 1 MiB, counted as one that had answered 200 with a short or empty body.

Cause: for such bodies tornado's reader closes the connection and returns, without an exception; the collector of the response never looked whether its end had come.

Evidence: tests/test_cut_answers_of_services.py. Before the change both probe cases of test_a_client_does_not_take_an_unreadable_body_for_a_complete_one return b"whole" or b"" ("DID NOT RAISE UpstreamBroken").

Ruled out by new tests that pass without a change: answers cut at each byte, in the status line, the head, the body, a chunk size or the trailers, closed or reset, at the router of the users' platform (tests/test_cut_heads.py) and at the clients of engines, services, probes and the object store (closed only).

--- a/src/endivelug/_http_probe.py
+++ b/src/endivelug/_http_probe.py
@@ -28,6 +28,7 @@
         self.status = 0
         self.body = bytearray()
         self.header_bytes = 0
+        self.complete = False
 
     def headers_received(
         self,
@@ -45,6 +46,9 @@
         self.body += chunk
         return None
 
+    def finish(self) -> None:
+        self.complete = True
+
 
 class PersistentConnection:
     """HTTP/1.1 connection that is reopened after it fails or is closed.
@@ -129,9 +133,11 @@
             raise UpstreamBroken(
                 f"{self.address} closed the connection; retry"
             ) from error
-        if not response.status:
+        if not response.complete:
+            # Tornado reports neither a body that cannot be read nor one that is too
+            # long as an error.
             connection.close()
-            raise UpstreamBroken(f"{self.address} sent no response; retry")
+            raise UpstreamBroken(f"{self.address} sent no complete response; retry")
         sent = sum(len(key) + len(value) + 4 for key, value in self.headers.get_all())
         self.transferred_bytes += (
             len(path) + 17 + sent + response.header_bytes + len(response.body)
