Do not take an object of unknown length for a complete one

What callers would see: the recorded answer of a service call, read from the object store for a duplicate of the call, is short and is passed on as a whole 200, if the store stopped after a head that states no length.

Cause: a response that ends with its connection looks the same whether it is whole or cut. Services are refused such responses already; the object store's were taken.

Change: an object without Content-Length and Transfer-Encoding is an error of the store.

--- a/src/endivelug/object_store.py
+++ b/src/endivelug/object_store.py
@@ -7,6 +7,7 @@
 
 from endivelug._address_resolver import AddressResolver
 from endivelug.exceptions import ObjectStoreUnavailable
+from endivelug.service_client import is_delimited
 
 
 class ObjectStore:
@@ -95,4 +96,11 @@
             raise ObjectStoreUnavailable(
                 f"the object store cannot be reached ({error}); retry later"
             ) from error
+        if method == "GET" and not is_delimited(
+            method, response.code, response.headers
+        ):
+            raise ObjectStoreUnavailable(
+                "the object has no Content-Length or Transfer-Encoding header, so it "
+                "may be truncated; look at the object store"
+            )
         return response.body
--- a/src/endivelug/service_client.py
+++ b/src/endivelug/service_client.py
@@ -219,7 +219,7 @@
         response_id = response.headers.get(REQUEST_ID_HEADER, request_id)
         if response_id != request_id:
             raise UpstreamBroken("the response has the request id of another call")
-        if not _is_delimited(request.method, response.code, response.headers):
+        if not is_delimited(request.method, response.code, response.headers):
             raise UpstreamBroken(
                 "the response has no Content-Length or Transfer-Encoding header, so it "
                 "may be truncated"
@@ -235,7 +235,7 @@
         self._client.close()
 
 
-def _is_delimited(method: str, status: int, headers: HTTPHeaders) -> bool:
+def is_delimited(method: str, status: int, headers: HTTPHeaders) -> bool:
     """Return whether the response is delimited by its headers.
 
     A response that ends when its connection is closed cannot be distinguished from a
--- a/tests/test_cut_answers_of_services.py
+++ b/tests/test_cut_answers_of_services.py
@@ -118,6 +118,7 @@
         *[(client, BAD_CHUNK) for client in CLIENTS],
         (probe, TOO_LONG),
         (call_service, HEAD + b"\r\nwho"),
+        (read_object, HEAD + b"\r\nwho"),
     ],
 )
 def test_a_client_does_not_take_an_unreadable_body_for_a_complete_one(client, data):
