Read at most 1 MiB of a response to an order

What would be seen: an engine that answers an order without end makes the agent keep 100 MB, for up to 16 orders at the same time.

Cause: the client of orders had the default limit of tornado's client.

Evidence: tests/test_endless_answers_of_services.py, case give_order; before the change the client takes 109,248,512 bytes. The case of probes passes without a change (1 MiB).

--- a/src/endivelug/_order_client.py
+++ b/src/endivelug/_order_client.py
@@ -17,6 +17,9 @@
 from endivelug.orders import LoadAdapter, LoadWeights, Order, order_kind
 from endivelug.service_client import GuardedConnector
 
+# Longest response to an order; tornado's client would read 100 MB.
+MAX_RESPONSE_BYTES = 1024 * 1024
+
 
 class OrderNotSent(EndivelugError):
     """The lease or slot no longer covers the order, so nothing was sent; plan again."""
@@ -52,7 +55,9 @@
         self._headers = {"Content-Type": "application/json"}
         if credential:
             self._headers["Authorization"] = f"Bearer {credential}"
-        self._client = SimpleAsyncHTTPClient(force_instance=True, max_clients=16)
+        self._client = SimpleAsyncHTTPClient(
+            force_instance=True, max_clients=16, max_body_size=MAX_RESPONSE_BYTES
+        )
         self._client.tcp_client = GuardedConnector(self._check_lease)
 
     async def send(self, order: Order | None, *, url: str, timeout_s: float) -> None:
