Bound what the responses of services hold together while they are read

What would be seen: a service that answers many calls at once without end makes the router keep up to 64 MiB for each of them, and the router is ended for its memory.

Cause: only a single response was bounded, and there may be 1,024 calls at a time.

Change: all responses that are being read hold at most 128 MiB together, two of the longest; beyond it the longest is ended ("may have run"). Its connection cannot be closed through tornado's client, so the rest is read slowly and dropped until the call's time limit.

Evidence: tests/test_endless_answers_of_services.py, 60 calls of a process of its own and 300 MB as the bound. A sound call afterwards is answered.

Not covered: complete bodies that are being recorded or written to a caller, and responses of the table service and the object store (100 MB and 256 MiB each).

--- a/src/endivelug/router.py
+++ b/src/endivelug/router.py
@@ -13,6 +13,7 @@
 
 import endivelug
 from endivelug import metrics as metrics_module
+from endivelug._response_memory import ResponseMemory
 from endivelug._tls import client_context, link_contexts, server_context
 from endivelug.admin_http import make_admin_application
 from endivelug.admission import Admission
@@ -37,7 +38,7 @@
 from endivelug.router_links import RouterLinks
 from endivelug.router_state import RouterState
 from endivelug.service_calls import ServiceCalls
-from endivelug.service_client import ServiceClient
+from endivelug.service_client import MAX_HELD_BYTES, ServiceClient
 from endivelug.settings import Settings, load_settings
 from endivelug.shares import ShareClient
 from endivelug.stream_ids import StreamIdSigner
@@ -232,6 +233,7 @@
             credential=platform.credential,
             tls=client_context(platform.tls_ca),
         )
+        memory = ResponseMemory(limit_bytes=MAX_HELD_BYTES)
         return {
             name: ServiceCalls(
                 vm=self.settings.vm.name,
@@ -240,6 +242,7 @@
                     credential=pool.credential,
                     tls=client_context(pool.tls_ca),
                     clock=self.clock,
+                    memory=memory,
                 ),
                 objects=objects,
                 may_retry=self.routing.retry.budget.try_acquire,
--- a/src/endivelug/service_client.py
+++ b/src/endivelug/service_client.py
@@ -5,6 +5,7 @@
 cost is one TCP handshake per call inside a data centre (about 1 ms).
 """
 
+import asyncio
 import secrets
 import ssl
 import time
@@ -12,17 +13,20 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from tornado.httpclient import HTTPRequest
+from tornado.httpclient import HTTPRequest, HTTPResponse
 from tornado.httputil import HTTPHeaders
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.simple_httpclient import HTTPTimeoutError, SimpleAsyncHTTPClient
 from tornado.tcpclient import TCPClient
 
 from endivelug._address_resolver import AddressResolver
+from endivelug._response_memory import ResponseMemory
 from endivelug.exceptions import UpstreamBroken, UpstreamUnreachable
 
 MAX_CONCURRENT_CALLS = 1024
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+# Bound on what the responses to all calls hold while they are read: two of the longest.
+MAX_HELD_BYTES = 2 * MAX_RESPONSE_BYTES
 REQUEST_ID_HEADER = "X-Request-Id"
 # Messages of tornado's timeout errors that are raised before anything was sent.
 CONNECT_TIMEOUT_MESSAGES = frozenset(
@@ -133,6 +137,8 @@
         Client context for ``https``.
     clock : callable
         Returns monotonic seconds.
+    memory : ResponseMemory or None
+        Bounds the responses of all clients that share it; None for one of its own.
     """
 
     def __init__(
@@ -141,9 +147,11 @@
         credential: str = "",
         tls: ssl.SSLContext | None = None,
         clock: Callable[[], float] = time.monotonic,
+        memory: ResponseMemory | None = None,
     ) -> None:
         self.tls = tls
         self.clock = clock
+        self.memory = memory or ResponseMemory(limit_bytes=MAX_HELD_BYTES)
         self._credential = credential
         self._client = SimpleAsyncHTTPClient(
             force_instance=True,
@@ -202,8 +210,8 @@
             ssl_options=self.tls,
         )
         try:
-            response = await self._client.fetch(fetch, raise_error=False)
-        except UpstreamUnreachable:
+            response, content = await self._fetch(fetch)
+        except (UpstreamUnreachable, UpstreamBroken):
             raise
         except Exception as error:
             if (
@@ -227,9 +235,26 @@
         return ServiceResponse(
             status=response.code,
             content_type=response.headers.get("Content-Type", ""),
-            body=response.body,
+            body=content,
         )
 
+    async def _fetch(self, request: HTTPRequest) -> tuple[HTTPResponse, bytes]:
+        """Return a response and its body, which is read within the memory."""
+        body = self.memory.open()
+        request.streaming_callback = body.add
+        fetching = self._client.fetch(request, raise_error=False)
+        try:
+            either: set[asyncio.Future[Any]] = {fetching, body.ended}
+            await asyncio.wait(either, return_when=asyncio.FIRST_COMPLETED)
+            if body.ended.done():
+                raise UpstreamBroken(
+                    "no memory is left for so long a response; look at the service"
+                )
+            return fetching.result(), body.take()
+        finally:
+            fetching.cancel()
+            self.memory.close(body)
+
     def close(self) -> None:
         """Close the HTTP client."""
         self._client.close()
--- a/tests/test_endless_answers_of_services.py
+++ b/tests/test_endless_answers_of_services.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import sys
+from pathlib import Path
 
 import pytest
 
@@ -9,7 +11,12 @@
 from endivelug._order_client import OrderClient
 from endivelug.exceptions import UpstreamBroken
 from endless_upstreams import BLOCK
+from service_crowd import BODY
 
+SCRIPT = Path(__file__).parent / "service_crowd.py"
+CALLS = 60
+# Memory of the machines on which faulty services ended the routers.
+MEMORY_MB = 300
 TIMEOUT_S = 5.0
 # Answers of these clients have at most 1 MiB, and the kernel's buffers of both sides
 # hold some more.
@@ -18,15 +25,19 @@
 
 
 class EndlessServer:
-    """Sends a head without a length and blocks without end."""
+    """Sends a head without a length and blocks without end, or a sound answer."""
 
     def __init__(self):
         self.sent_bytes = 0
 
     async def serve(self, reader, writer):
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
-            await reader.readuntil(b"\r\n\r\n")
-            await self.send_without_end(writer)
+            head = await reader.readuntil(b"\r\n\r\n")
+            if b"/sound" in head:
+                length = f"Content-Length: {len(BODY)}".encode()
+                writer.write(b"HTTP/1.1 200 OK\r\n" + length + b"\r\n\r\n" + BODY)
+            else:
+                await self.send_without_end(writer)
             writer.close()
 
     async def send_without_end(self, writer):
@@ -68,3 +79,24 @@
         assert endless.sent_bytes < MAX_TAKEN_BYTES
 
     asyncio.run(run())
+
+
+# Guards against a process that runs out of memory because each of many calls keeps as
+# much as the longest answer may have.
+def test_endless_answers_to_many_service_calls_leave_room():
+    async def run():
+        async with EndlessServer().running() as address:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(SCRIPT),
+                address,
+                str(CALLS),
+                stdout=asyncio.subprocess.PIPE,
+            )
+            output, _ = await process.communicate()
+        assert process.returncode == 0
+        broken, sound, peak_kb = output.split()
+        assert (int(broken), int(sound)) == (CALLS, 1)
+        assert int(peak_kb) < MEMORY_MB * 1024
+
+    asyncio.run(run())
