Answer what is left when a planned stop of the router reaches its limit

What callers saw: at `drain_limit_s` the router closed the connections of requests that were still in progress, without an answer.

Change: those that it has not begun to answer get 502 `stopped`, "may have run". Streams that have begun still end with their connection, and can be resumed at another router.

--- a/src/endivelug/caller_handler.py
+++ b/src/endivelug/caller_handler.py
@@ -149,6 +149,16 @@
             # The request may already have been dispatched, so it may have run.
             self.refuse(MayHaveRun(kind="internal-error"))
 
+    def end_unfinished(self) -> None:
+        """Answer a request that is still in progress when the router stops.
+
+        A stream that has begun is left to the close of its connection, which shows
+        that it is not complete.
+        """
+        if not self._headers_written and not self._finished:
+            self.set_header("Connection", "close")
+            self.refuse(MayHaveRun(kind="stopped"))
+
     async def run_cancellable(self, work: Any) -> Any:
         """Await a coroutine that is cancelled when the caller disconnects.
 
--- a/src/endivelug/router.py
+++ b/src/endivelug/router.py
@@ -193,6 +193,8 @@
             in_flight=self._in_flight,
             stop_accepting=self.server.stop,
         )
+        for handler in list(self.context.in_flight):
+            handler.end_unfinished()
         unfinished = self.drain_state.aborted
         # Wait for outcomes that are still being recorded after the response was sent.
         for calls in self.context.service_calls.values():
--- a/tests/programs.py
+++ b/tests/programs.py
@@ -183,10 +183,10 @@
 
 
 @contextlib.contextmanager
-def running_system():
+def running_system(**options):
     """Run one VM with an engine and a service, and yield it."""
     pools = {"chat": {"kind": "engine"}, "orders": {"kind": "service"}}
-    with running_cluster(pool_settings=pools) as cluster:
+    with running_cluster(pool_settings=pools, **options) as cluster:
         cluster.start_platform()
         cluster.start_engine("e1", "--model", "chat=1")
         cluster.start_service("orders1", pool="orders")
