Keep no long error while another upstream is asked

What would be seen: an upstream answers many requests with long errors; each error is kept, uncharged, until another upstream has answered, so that the process runs out of memory.

Cause: an error is passed on if no later attempt brings an answer. Its charge is returned with its connection, and nothing bounds how long and how often it is kept.

Change: an error above 64 KiB is dropped once the request is sent again; the caller then gets 502 if the other attempt fails too.

Evidence: tests/test_endless_answers.py, the case above 64 KiB; before the change the caller gets the long error (500).

--- a/src/endivelug/forwarding/forwarder.py
+++ b/src/endivelug/forwarding/forwarder.py
@@ -13,6 +13,7 @@
 )
 from endivelug.forwarding.buffers.admission import Admission
 from endivelug.forwarding.buffers.head_check import Denied, Permitted
+from endivelug.forwarding.buffers.kept_answers import SMALL_ANSWER_BYTES
 from endivelug.forwarding.call_recorder import CallRecorder, reason_of
 from endivelug.forwarding.calls import (
     AttemptOutcome,
@@ -250,6 +251,9 @@
             if continuation is None and not self._try_acquire_retry(call, outcome):
                 await self.errors.fail(call, writer, failure, reason_of(outcome))
                 return
+            if failure is not None and len(failure.body) > SMALL_ANSWER_BYTES:
+                # Nothing bounds what many calls would keep while they wait and retry.
+                failure = None
 
     async def _place(self, call: Call) -> Placement | NoPlacement:
         if not self.dispatcher.placer.has_instances(call):
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -6,6 +6,7 @@
 import pytest
 
 from endivelug.exceptions import UpstreamBroken
+from endivelug.forwarding.buffers.kept_answers import SMALL_ANSWER_BYTES
 from endivelug.forwarding.connection_pool import ConnectionPool
 from endivelug.forwarding.event_stream import MAX_EVENT_BYTES
 from endivelug.forwarding.response_parser import MAX_RESPONSE_BYTES
@@ -189,6 +190,28 @@
     asyncio.run(run())
 
 
+# Guards against long errors of many requests that fill the memory while other upstreams
+# are asked: the caller gets the router's own error if these fail too.
+@pytest.mark.parametrize(
+    ("length", "status"), [(SMALL_ANSWER_BYTES, 500), (SMALL_ANSWER_BYTES + 1, 502)]
+)
+def test_only_a_short_error_is_kept_while_another_upstream_is_asked(length, status):
+    async def scenario(system):
+        async def script(exchange):
+            if len(system.attempts()) == 1:
+                await exchange.respond(bytes(length), status=500)
+            else:
+                exchange.reset()
+
+        for desk in system.desks:
+            desk.script = script
+        response = await system.request("/look/it", headers=DEADLINE)
+        assert len(system.attempts()) == 2
+        assert response.status == status
+
+    run_scenario(scenario)
+
+
 # Guards against the tests above passing because nothing is delivered at all.
 def test_a_sound_stream_is_delivered():
     async def scenario(system):
