--- a/tests/misbehaving_clients.py
+++ b/tests/misbehaving_clients.py
@@ -31,9 +31,11 @@
 class RouterProcess:
     """The product's own process on a loopback address of its own."""
 
-    def __init__(self, process, front):
+    def __init__(self, process, front, ready, log_path):
         self.process = process
         self.front = front
+        self.ready = ready
+        self.log_path = log_path
 
     @property
     def peak_bytes(self):
@@ -64,22 +66,26 @@
 
 
 @contextlib.asynccontextmanager
-async def running_process(folder):
+async def running_process(
+    folder, *, memory_mb=MEMORY_MB, timeout_ms=5000, grace_s=BOUNDS["graceS"], slots=64
+):
     """Start the process with lowered limits against stand-ins."""
     async with contextlib.AsyncExitStack() as stack:
         store = await stack.enter_async_context(running_store())
         desk = await stack.enter_async_context(running_upstream())
+        engine = await stack.enter_async_context(running_upstream())
         document = configuration_document()
         document["limits"]["maxBodyBytes"] = MAX_BODY_BYTES
         document["limits"]["headerTimeoutMs"] = 3000
         document["limits"]["idleTimeoutMs"] = 15000
         for route in document["routes"]:
-            route["timeoutMs"] = 5000
+            route["timeoutMs"] = timeout_ms
         store.put("op", "config", document)
         registration = registration_document(
-            service="desk", models=[], address=desk.address
+            service="desk", models=[], address=desk.address, slots=slots
         )
         store.put("servers", "d0", registration)
+        store.put("servers", "e0", registration_document(address=engine.address))
         ip = f"127.78.{os.getpid() % 200}.1"
         front = f"{ip}:{free_port()}"
         path = folder / "node.json"
@@ -89,8 +95,8 @@
             "ip": ip,
             "listenAddrs": {"front": front, "ready": f"{ip}:{free_port()}"},
             "internalPorts": [free_port(), free_port()],
-            "bounds": BOUNDS,
-            "limits": {"memoryMb": MEMORY_MB, "maxFds": MAX_FDS},
+            "bounds": {**BOUNDS, "graceS": grace_s},
+            "limits": {"memoryMb": memory_mb, "maxFds": MAX_FDS},
             "platform": {"address": store.address},
         }
         path.write_text(json.dumps(settings))
@@ -103,7 +109,10 @@
                 stdout=log,
                 stderr=log,
             )
-        running = RouterProcess(process, front)
+        running = RouterProcess(
+            process, front, settings["listenAddrs"]["ready"], path.with_suffix(".log")
+        )
+        running.desk, running.engine, running.store = desk, engine, store
         try:
             await _wait_until_serving(running)
             yield running
@@ -196,3 +205,42 @@
                 await asyncio.sleep(0)
         if chunked and complete:
             writer.write(b"0\r\n\r\n")
+
+
+class Callers:
+    """Callers that send one request each, and read the answers or leave them unread."""
+
+    def __init__(self, running, *, target, headers, reads):
+        self.running = running
+        self.target = target
+        self.headers = headers
+        self.reads = reads
+        self.writers = []
+
+    async def send(self, prefix, count):
+        """Send the requests at once; return when all have ended or time is up."""
+        tasks = [asyncio.create_task(self._call(f"{prefix}{n}")) for n in range(count)]
+        await asyncio.wait(tasks, timeout=SENDING_S)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def close(self):
+        for writer in self.writers:
+            writer.transport.abort()
+
+    async def _call(self, request_id):
+        host, _, port = self.running.front.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.writers.append(writer)
+        headers = {"X-Request-Id": request_id, "X-Deadline-Ms": "4000", **KEY}
+        lines = [f"POST {self.target} HTTP/1.1", "Host: h.example", "Content-Length: 0"]
+        lines += [
+            f"{name}: {value}" for name, value in {**headers, **self.headers}.items()
+        ]
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+        if not self.reads:
+            writer.transport.pause_reading()
+            await asyncio.sleep(SENDING_S)
+        while await reader.read(65536):
+            pass
