Report what was taken from the retry budget with the next round

Cause: a report is sent 0.1 s after a change of loads, otherwise with the heartbeat after 0.5 s. A retry that waits for an upstream changes no load, so what it took could be known to the others only after about 0.8 s, when they may take again. The test fails on the code before, where nothing is reported. Change: taking from the pool counts as a change for the rounds of reports.

--- a/src/endivelug/forwarding/retry_budget.py
+++ b/src/endivelug/forwarding/retry_budget.py
@@ -86,6 +86,8 @@
         Until then the VM sends no retries.
     reports_current : callable
         Whether this VM knows what the VMs that report to it have taken from the pool.
+    on_taken : callable
+        Called after this VM has taken from the pool, so that the others hear of it.
     counts : dict of str to _Counts
         Requests and retries of this VM by service.
     neighbours : NeighbourSums of RetryCount
@@ -100,6 +102,7 @@
     vms: int = 1
     cautious_until: float = float("-inf")
     reports_current: Callable[[], bool] = lambda: True
+    on_taken: Callable[[], None] = lambda: None
     counts: dict[str, _Counts] = field(default_factory=dict)
     neighbours: NeighbourSums[RetryCount] = field(
         default_factory=lambda: NeighbourSums(zero=RetryCount())
@@ -245,6 +248,7 @@
             part = min(part, self._largest_cut_off(counts, now=now) - used)
         if part > 0:
             counts.pool.take(part, now=now)
+            self.on_taken()
 
     def _largest_cut_off(self, counts: _Counts, *, now: float) -> float:
         """Return what this VM may use of the pool while VMs do not report to it.
--- a/src/endivelug/forwarding/retry_budget_watch.py
+++ b/src/endivelug/forwarding/retry_budget_watch.py
@@ -85,4 +85,5 @@
         clock=peers.clock,
     )
     peers.budget.reports_current = watch.is_current
+    peers.budget.on_taken = peers.rounds.note_change
     return watch
--- a/tests/test_retry_budget_watch.py
+++ b/tests/test_retry_budget_watch.py
@@ -1,9 +1,14 @@
 import pytest
 
 from endivelug.forwarding.neighbour import Neighbour
-from endivelug.forwarding.retry_budget_watch import CURRENT_S, RetryBudgetWatch
+from endivelug.forwarding.retry_budget_watch import (
+    CURRENT_S,
+    RetryBudgetWatch,
+    make_retry_budget_watch,
+)
 from forwarding_builders import ManualClock
 from retry_vms import SERVICE, make_budget
+from test_peers import make_peers
 
 
 def make_watch(clock, neighbours, *, registered=2):
@@ -53,3 +58,17 @@
     watch = make_watch(clock, {}, registered=1)
     watch.check(now=clock.now)
     assert watch.budget.try_acquire(SERVICE, now=clock.now)
+
+
+# Guards against a part of the pool that the other VMs hear of with the next heartbeat
+# only, because a retry that waits changes no load.
+def test_taking_from_the_pool_is_reported_in_the_next_round():
+    peers = make_peers("vm1")
+    make_retry_budget_watch(peers)
+    assert peers.budget.on_taken == peers.rounds.note_change
+    budget, taken = make_budget(), []
+    budget.on_taken = lambda: taken.append(budget.own(SERVICE, now=0.0).retries)
+    while budget.reserve(SERVICE, now=0.0) is not None:
+        pass
+    assert len(taken) == 1
+    assert taken[0] > 0
