--- a/tests/soak/answering.py
+++ b/tests/soak/answering.py
@@ -16,13 +16,18 @@
     ----------
     refused_share : float
         Share of the requests that it refuses and states that they did not run.
-    broken_share, failed_share, copied_share : float
+    broken_share, failed_share : float
         Shares of the requests that it runs and answers with a reset or with one of the
-        ``failures``, and of the answers that are sent once more, before the next one.
+        ``failures``.
+    copied_share : float
+        Share of the answers that are sent once more, before the next one.
+    nameless_share : float
+        Share of the refusals that do not name their request.
     """
 
     refused_share: float = 0.0
     broken_share: float = 0.0
     failed_share: float = 0.0
     copied_share: float = 0.0
+    nameless_share: float = 0.0
     failures: tuple[int, ...] = FAILURES
--- a/tests/soak/scenarios.py
+++ b/tests/soak/scenarios.py
@@ -57,6 +57,18 @@
         await asyncio.sleep(ROUND_S)
 
 
+async def _heal_and_reset(faults: Faults, until: float) -> None:
+    """Engines lose connections some time after they can be reached again."""
+    while time.monotonic() < until:
+        proxy = _next_engine(faults).proxy
+        proxy.set_mode(Mode.NO_ANSWERS)
+        await asyncio.sleep(ROUND_S / 2)
+        proxy.set_mode(Mode.PASS)
+        await asyncio.sleep(faults.rng.uniform(0.45, 0.8))
+        proxy.reset_caller_ends(faults.rng, 0.7)
+        await asyncio.sleep(ROUND_S)
+
+
 async def _fail(faults: Faults, until: float) -> None:
     """Upstreams answer failures of their own."""
     for upstream in faults.environment.upstreams:
@@ -96,6 +108,7 @@
     "stop-listening": _stop_listening,
     "lose-connects": _lose_connects,
     "pause-beside-lost-connects": _pause_beside_lost_connects,
+    "heal-and-reset": _heal_and_reset,
     "fail": _fail,
     "retry-and-restart": _retry_and_restart,
     "retry-and-pause": _retry_and_pause,
--- a/tests/soak/upstream_faults.py
+++ b/tests/soak/upstream_faults.py
@@ -23,7 +23,7 @@
 ANSWERINGS = (
     *RETRIED_ANSWERINGS,
     Answering(failed_share=0.5),
-    Answering(copied_share=0.7),
+    Answering(copied_share=0.7, refused_share=0.3, nameless_share=0.5),
 )
 
 
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -19,6 +19,8 @@
 # Events of a stream, and the time between two of them, by the first part of its path.
 STREAMS = {"a": (12, 0.02), "short": (30, 0.03)}
 BACKUP_INTERVAL_S = 0.1
+# Statuses with which an upstream states that a request did not run.
+REFUSALS = (421, 503)
 DRAIN_SLACK_S = 0.2
 # Share of the plain requests that take longer, so that faults meet them while they run.
 LONG_SHARE = 0.1
@@ -205,12 +207,17 @@
     ) -> None:
         """Answer, sometimes after a late copy of an earlier answer."""
         copy = self.copies.pop(exchange.writer, b"")
-        own = response_bytes(exchange.id, body, status=status, **headers)
-        if self.rng.random() < self.answering.copied_share:
+        nameless = status in REFUSALS and self._draw(self.answering.nameless_share)
+        request = "" if nameless else exchange.id
+        own = response_bytes(request, body, status=status, **headers)
+        if self._draw(self.answering.copied_share):
             self.copies[exchange.writer] = own
         with contextlib.suppress(ConnectionError):
             await exchange.send(copy + own)
 
+    def _draw(self, share: float) -> bool:
+        return self.rng.random() < share
+
     async def _refuse(self, exchange: Exchange, status: int) -> None:
         headers = {"X_Not_Executed": "1"} if status == 503 else {}
         await self._respond(exchange, b"", status, **headers)
@@ -231,7 +238,7 @@
         if self.engine and expected not in (None, str(self.version)):
             await self._refuse(exchange, 421)
             return
-        refused = self.rng.random() < self.answering.refused_share
+        refused = self._draw(self.answering.refused_share)
         busy = self.busy or self.running >= self.slots or refused
         if busy or not self._takes_backup(exchange):
             await self._refuse(exchange, 503)
@@ -275,15 +282,15 @@
             run.ended_at = time.monotonic()
 
     async def _answer(self, exchange: Exchange) -> None:
-        if self.rng.random() < self.answering.broken_share:
+        if self._draw(self.answering.broken_share):
             exchange.reset()
             return
         if self.engine:
             await self._stream(exchange)
             return
-        long = self.rng.random() < LONG_SHARE
+        long = self._draw(LONG_SHARE)
         await asyncio.sleep(self.rng.uniform(0.01, 0.6 if long else 0.05))
-        if self.rng.random() < self.answering.failed_share:
+        if self._draw(self.answering.failed_share):
             status = self.rng.choice(self.answering.failures)
             await self._respond(exchange, FAILURE_BODY, status)
             return
@@ -309,7 +316,7 @@
         count, interval_s = STREAMS[exchange.target.split("/")[1]]
         first = int(exchange.headers.get("last-event-id", "0")) + 1
         await asyncio.sleep(self.rng.uniform(0.02, 0.1))
-        if self.rng.random() < self.answering.failed_share:
+        if self._draw(self.answering.failed_share):
             status = self.rng.choice(self.answering.failures)
             await self._respond(exchange, FAILURE_BODY, status)
             return
