Admit no burst of a quota after a pause in which others used it

Seen: an organisation gets its burst twice in one window if a VM is paused while another one admits it. The new test on the code before: 1,890 and 1,805 of two VMs in a window of 8 s, where the limit is 1,400 and the tolerance 140 (rate 100/s, burst 600). Cause: a VM subtracts what the others use at the rates that they report, over the time that passes between their reports. After a pause all reports of that time are read at once, so only the last rates count, and the bucket is full for what was not heard. An organisation without state at this VM gets a full bucket. Ruled out: the share of the limit. It falls 1.5 s after links close, which a paused VM notices after it has resumed; a pause shorter than that closes no link. Change: a limiter that has ended no block for a second assumes, as after a start, that the bursts have been used: levels are at most 0, and new buckets begin empty for the length of the window. A single VM shares with nobody and keeps its level. Demand within the rate is still admitted (second test).

--- a/src/endivelug/forwarding/quotas/quota_limiter.py
+++ b/src/endivelug/forwarding/quotas/quota_limiter.py
@@ -13,6 +13,9 @@
 # Rates of a VM stay in the sums for about this long after its link has closed; the
 # limit of the others is lowered after that, so that nothing is subtracted twice.
 SHARE_DELAY_S = 1.5
+# Blocks end every half second. After a longer time without an end this process was
+# paused, and does not know what the other VMs have used.
+PAUSE_S = 1.0
 # State of an organisation without demand is kept beyond the window for this long.
 IDLE_MARGIN_S = 2.0
 # Range of the times after which refused callers return.
@@ -69,6 +72,8 @@
         Whether ``vms`` is known; until then nothing is admitted.
     full_from : float
         Time from which a new bucket is full.
+    ran_at : float
+        Time of the end of the last block, or of the end of a pause that was noticed.
     """
 
     def __init__(
@@ -85,6 +90,7 @@
         self.represented_vms = 1
         self.counted = True
         self.full_from = float("-inf")
+        self.ran_at = float("inf")
         self._share = 1.0
         self._counted_vms = 1
         self._bounds_vms = 1
@@ -131,6 +137,7 @@
         is_returning : callable
             Whether the caller was refused before and waited; called only if needed.
         """
+        self._notice_pause(now)
         state = self._states.get(organisation)
         if state is None:
             state = self._add(organisation, quota, now=now)
@@ -174,6 +181,7 @@
 
     def advance(self, organisation: str, *, now: float) -> None:
         """Update the level before the use that other VMs report changes."""
+        self._notice_pause(now)
         state = self._states.get(organisation)
         if state is not None:
             state.bucket.advance(self._others(organisation), now=now)
@@ -186,6 +194,8 @@
         quotas : mapping of str to Quota
             Quotas in force by organisation.
         """
+        self._notice_pause(now)
+        self.ran_at = now
         self._update_share(now)
         vms_changed = self.vms != self._bounds_vms
         self._bounds_vms = self.vms
@@ -203,6 +213,21 @@
                 state.bounds = self._bounds(quota)
             self._end_block_of(organisation, state, now=now)
 
+    def _notice_pause(self, now: float) -> None:
+        """Assume after a pause that the other VMs have used the bursts meanwhile.
+
+        Their reports of that time are read at once and show only their last rates.
+        """
+        if now - self.ran_at <= PAUSE_S:
+            return
+        self.ran_at = now
+        if self.vms <= 1:
+            return
+        self.full_from = max(self.full_from, now + self.tolerance.window_s)
+        for organisation, state in self._states.items():
+            state.bucket.advance(self._others(organisation), now=now)
+            state.bucket.level = min(state.bucket.level, 0.0)
+
     def _end_block_of(self, organisation: str, state: _State, *, now: float) -> None:
         others, use = self._others(organisation), state.use
         state.bucket.set_share(self._share)
