Continue no run of an engine whose entry was removed provisionally

Seen: a stream that may run only once runs at two engines. The first one stops, which only the removal of its entry tells, refuses connections and loses the connection of the run. The new test on the code before: "assert not True", the stream was completed by a second engine. Cause: while the registry is away and for 2.5 s after its return a removed entry is kept, because the engine may be alive. The check of what stops looked at whether the entry is there, and not at whether it is removed provisionally.

--- a/src/endivelug/forwarding/instances.py
+++ b/src/endivelug/forwarding/instances.py
@@ -147,6 +147,19 @@
         """Return whether an instance stated itself that it is leaving."""
         return instance.incarnation in self.leaving
 
+    def is_stopping(self, instance: Instance) -> bool:
+        """Return whether an instance may refuse connections and still finish its work.
+
+        The entry of one that stops says so or is removed, be it provisionally; that of
+        one that has crashed stays for some heartbeats.
+        """
+        entry = self.entries.get(instance.name)
+        if entry is None:
+            return True
+        if entry.instance.incarnation != instance.incarnation:
+            return False
+        return entry.instance.draining or not entry.registered
+
     def leaves_unlisted(self, incarnation: tuple[str, int]) -> bool:
         """Return whether an incarnation is leaving while its entry says otherwise."""
         entry = self.entries.get(incarnation[0])
--- a/src/endivelug/forwarding/stream_recovery.py
+++ b/src/endivelug/forwarding/stream_recovery.py
@@ -70,17 +70,5 @@
         if shown is Reach.NO_ANSWER:
             shown = await self.reach.check_cut_off(engine.address)
         if shown is Reach.REFUSES:
-            return not self._is_stopping(engine)
+            return not self.view.registry.is_stopping(engine)
         return shown is Reach.NO_ANSWER
-
-    def _is_stopping(self, engine: Instance) -> bool:
-        """Return whether an engine may refuse connections and still finish its runs.
-
-        The entry of one that stops says so or is removed; that of one that has crashed
-        stays for some heartbeats.
-        """
-        registered = self.view.registry.get(engine.name)
-        if registered is None:
-            return True
-        same = registered.incarnation == engine.incarnation
-        return same and registered.draining
--- a/tests/test_runs_at_two_engines.py
+++ b/tests/test_runs_at_two_engines.py
@@ -107,6 +107,27 @@
     run_scenario(scenario, engines=2, configuration=unrepeatable_streams())
 
 
+# Guards against the same where the entry of the engine was removed just after the
+# registry was back: some engines stop without any other sign.
+def test_an_engine_whose_entry_was_removed_provisionally_has_not_ended():
+    async def scenario(system):
+        registry = system.node.view.registry
+
+        async def stop(engine):
+            name = f"i{system.engines.index(engine)}"
+            registry.record_registry_lost()
+            system.store.remove("servers", name)
+            await wait_until(lambda: not registry.entries[name].registered)
+            engine.crash()
+
+        break_connections(system, stop)
+        response = await system.request(headers=PROMPT)
+        assert not response.complete
+        assert len(system.attempts()) == 1
+
+    run_scenario(scenario, engines=2, configuration=unrepeatable_streams())
+
+
 # Guards against the same where the router left the connection itself, because what came
 # on it is not valid.
 def test_an_engine_that_sent_an_invalid_answer_has_not_ended():
