Suspect no prompt because its engine ended as announced

Seen: prompts are refused with 503 ("not run") although they crash nothing, once engines that are replaced one after the other end while they begin to answer prompts with a segment in common. Cause: a refused connection after a lost one counted as a crash. An engine that has closed its listener as announced, or ends after its notice, refuses connections, too. Change: such an engine is avoided as before, but its lost runs are no evidence.

--- a/src/endivelug/forwarding/crash_watch.py
+++ b/src/endivelug/forwarding/crash_watch.py
@@ -3,10 +3,8 @@
 import asyncio
 from collections.abc import Callable
 
-from endivelug.exceptions import UpstreamNotListening, UpstreamUnreachable
 from endivelug.forwarding.calls import AttemptOutcome, Call, Delivered, Lost
 from endivelug.forwarding.cluster_view import LogLine
-from endivelug.forwarding.connection_pool import ConnectionPool
 from endivelug.forwarding.crash_exchange import CrashExchange
 from endivelug.forwarding.crash_suspects import (
     MAX_SEGMENTS_PER_RUN,
@@ -14,10 +12,10 @@
     CrashedRun,
     CrashSuspects,
 )
-from endivelug.forwarding.instances import Instance
+from endivelug.forwarding.engine_reach import EngineReach, Reach
+from endivelug.forwarding.instances import Instance, InstanceRegistry
 from endivelug.forwarding.placement import Placement
 from endivelug.forwarding.refused_callers import request_digest
-from endivelug.forwarding.upstream_connection import connect
 
 # A process that has ended refuses connections at once; a cut one answers nothing.
 PROBE_TIMEOUT_S = 0.5
@@ -43,7 +41,8 @@
         vm: str,
         suspects: CrashSuspects,
         exchange: CrashExchange,
-        pool: ConnectionPool,
+        reach: EngineReach,
+        registry: InstanceRegistry,
         on_crash: Callable[[str], None],
         clock: Callable[[], float],
         log: LogLine,
@@ -51,7 +50,8 @@
         self.vm = vm
         self.suspects = suspects
         self.exchange = exchange
-        self.pool = pool
+        self.reach = reach
+        self.registry = registry
         self.on_crash = on_crash
         self.clock = clock
         self.log = log
@@ -141,25 +141,25 @@
         del self.lost_runs[key]
 
     async def _probe(self, instance: Instance) -> None:
-        """Connect anew; report the lost runs if nothing listens any more."""
-        try:
-            connection = await connect(
-                instance.address, timeout_s=PROBE_TIMEOUT_S, clock=self.clock
-            )
-        except UpstreamNotListening:
-            runs = self.lost_runs[instance.incarnation]
-            self.log(
-                "engine-crashed",
-                instance=instance.name,
-                started_ms=instance.started_ms,
-                begun=[run.request for run in runs if run.begun],
-                waiting=sum(not run.begun for run in runs),
-            )
-            self.on_crash(instance.name)
-            for run in runs:
-                self.exchange.record_crash(run)
-        except UpstreamUnreachable:
-            # Cut off, for all that is known; the watch for silence looks after it.
-            pass
-        else:
-            self.pool.release(instance.address, connection, idle_s=None)
+        """Connect anew; report the lost runs if nothing listens any more.
+
+        Runs that end with an engine which stops as announced show nothing about their
+        prompts.
+        """
+        shown = await self.reach.check(instance.address, timeout_s=PROBE_TIMEOUT_S)
+        if shown is not Reach.REFUSES:
+            # If it is cut off, the watch for silence looks after it.
+            return
+        self.on_crash(instance.name)
+        if self.registry.is_stopping(instance):
+            return
+        runs = self.lost_runs[instance.incarnation]
+        self.log(
+            "engine-crashed",
+            instance=instance.name,
+            started_ms=instance.started_ms,
+            begun=[run.request for run in runs if run.begun],
+            waiting=sum(not run.begun for run in runs),
+        )
+        for run in runs:
+            self.exchange.record_crash(run)
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from endivelug.forwarding.crash_suspects import MAX_SEGMENTS_PER_RUN
+from forwarding_builders import registration_document
 from router_process import (
     metrics_port,
     run_scenario,
@@ -86,6 +87,36 @@
     run_scenario(scenario, engines=2)
 
 
+# Guards against blocking a prompt because engines that were being replaced ended while
+# they began to answer it.
+def test_engines_that_end_as_announced_make_no_prompt_suspect():
+    def end_as_announced(system, engine):
+        name = f"i{system.engines.index(engine)}"
+        document = registration_document(address=engine.address, state="draining")
+
+        async def script(exchange):
+            await exchange.start_stream()
+            system.store.put("servers", name, document)
+            registry = system.node.view.registry
+            await wait_until(lambda: registry.get(name).draining)
+            engine.crash()
+            exchange.closed = True
+            exchange.writer.close()
+
+        return script
+
+    async def scenario(system):
+        for engine in system.engines:
+            engine.script = end_as_announced(system, engine)
+        await system.request(headers=prompt("q1", "shared"))
+        load, clock = system.node.view.loads.of("i0"), system.node.clock
+        await wait_until(lambda: load.avoid_until > clock())
+        assert system.node.suspects.runs(now=clock()) == []
+        assert "engine-crashed" not in system.log.events()
+
+    run_scenario(scenario)
+
+
 # Guards against a crash that only the VM with a request there learns of: all requests
 # in progress at the engine are evidence, and no VM sends it more.
 def test_a_crash_is_confirmed_once_and_its_engine_is_avoided():
