Count the connections of reachability checks in the pool

Seen: a connection that a check leaves in the pool counts towards no bound. The new test on the code before: `assert 0 == 1` for the descriptors of a pool with one connection; its connection had no memory account either, so what is read from it is not charged. Cause: the check connected beside the pool and then released the connection into it. Change: the check opens it through the pool, which counts it until it is closed.

--- a/src/endivelug/forwarding/engine_reach.py
+++ b/src/endivelug/forwarding/engine_reach.py
@@ -17,7 +17,6 @@
 )
 from endivelug.forwarding.connection_pool import ConnectionPool
 from endivelug.forwarding.process_pauses import ProcessPauses
-from endivelug.forwarding.upstream_connection import connect
 
 # Connection attempts without an answer that show that an engine is cut off, the time
 # between their starts, and their time limit: packets may wait for half a second on a
@@ -25,8 +24,6 @@
 CUT_OFF_ATTEMPTS = 2
 CUT_OFF_ATTEMPT_INTERVAL_S = 0.1
 CUT_OFF_TIMEOUT_S = 0.7
-
-
 # An attempt that a pause of this process spoilt is repeated so often.
 MAX_ATTEMPTS = 3
 
@@ -71,7 +68,7 @@
 
     async def _connect(self, address: str, timeout_s: float) -> Reach:
         try:
-            connection = await connect(address, timeout_s=timeout_s, clock=self.clock)
+            connection = await self.pool.open(address, timeout_s=timeout_s)
         except UpstreamNotListening:
             return Reach.REFUSES
         except UpstreamNotAnswering:
