Take no engine for ended that keeps a connection open

Upstreams saw: a stream that may run only once went on from its backup while its engine, listed as ready, had closed its listener, reset one connection and finished its runs. Cause: a reset connection and a refused one are what a crash shows, too. Change: the kernel closes all connections of a process that has ended. A refused connection shows the end of a run only once no connection of this VM to the engine is open any more, within 0.1 s.

--- a/src/endivelug/forwarding/connection_pool.py
+++ b/src/endivelug/forwarding/connection_pool.py
@@ -7,8 +7,10 @@
 """
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 from endivelug.exceptions import NoDescriptor, UpstreamBroken, UpstreamUnreachable
 from endivelug.forwarding.buffers.kept_answers import KeptAnswers
@@ -64,8 +66,10 @@
     ----------
     opened_total : int
         Connections opened so far.
-    opening, open_count : int
-        Connections that are being opened, and those that are open.
+    opening : int
+        Connections that are being opened.
+    open_counts : Counter of str
+        Connections that are open, by address.
     account : MemoryAccount
         Charged for responses that are read from upstreams.
     kept_answers : KeptAnswers
@@ -78,7 +82,7 @@
     idle: dict[tuple[str, Use], list[_IdleEntry]] = field(default_factory=dict)
     opened_total: int = 0
     opening: int = 0
-    open_count: int = 0
+    open_counts: Counter[str] = field(default_factory=Counter)
     account: MemoryAccount = field(
         default_factory=lambda: MemoryAccount(total_bytes=DEFAULT_TOTAL_BYTES)
     )
@@ -147,17 +151,19 @@
         finally:
             self.opening -= 1
         connection.account = self.account
-        self.open_count += 1
-        connection.on_closed = self._count_closed
+        self.open_counts[address] += 1
+        connection.on_closed = partial(self._count_closed, address)
         return connection
 
-    def _count_closed(self) -> None:
-        self.open_count -= 1
+    def _count_closed(self, address: str) -> None:
+        self.open_counts[address] -= 1
+        if not self.open_counts[address]:
+            del self.open_counts[address]
 
     @property
     def descriptors(self) -> int:
         """Number of connections that are open or being opened."""
-        return self.open_count + self.opening
+        return self.open_counts.total() + self.opening
 
     def _take_idle(
         self, address: str, use: Use, max_idle_s: float, request: int
--- a/src/endivelug/forwarding/engine_reach.py
+++ b/src/endivelug/forwarding/engine_reach.py
@@ -24,6 +24,10 @@
 CUT_OFF_ATTEMPTS = 2
 CUT_OFF_ATTEMPT_INTERVAL_S = 0.1
 CUT_OFF_TIMEOUT_S = 0.7
+# The kernel closes all connections of a process that has ended; the event loop notices
+# all of them within this time.
+ALL_CLOSED_S = 0.1
+ALL_CLOSED_CHECK_INTERVAL_S = 0.01
 # An attempt that a pause of this process spoilt is repeated so often.
 MAX_ATTEMPTS = 3
 
@@ -78,6 +82,18 @@
         self.pool.release(address, connection, idle_s=None)
         return Reach.ACCEPTS
 
+    async def all_closed(self, address: str) -> bool:
+        """Return whether no connection to an address is open any more.
+
+        An engine that refuses connections and keeps one open may only be stopping.
+        """
+        ends_at = self.clock() + ALL_CLOSED_S
+        while self.pool.open_counts[address]:
+            if self.clock() >= ends_at:
+                return False
+            await asyncio.sleep(ALL_CLOSED_CHECK_INTERVAL_S)
+        return True
+
     async def check_cut_off(self, address: str) -> Reach:
         """Return NO_ANSWER if several attempts that wait longer show it, too."""
         attempts = [
--- a/src/endivelug/forwarding/stream_recovery.py
+++ b/src/endivelug/forwarding/stream_recovery.py
@@ -70,5 +70,6 @@
         if shown is Reach.NO_ANSWER:
             shown = await self.reach.check_cut_off(engine.address)
         if shown is Reach.REFUSES:
-            return not self.view.registry.is_stopping(engine)
+            stopping = self.view.registry.is_stopping(engine)
+            return not stopping and await self.reach.all_closed(engine.address)
         return shown is Reach.NO_ANSWER
--- a/tests/test_runs_at_two_engines.py
+++ b/tests/test_runs_at_two_engines.py
@@ -107,6 +107,26 @@
     run_scenario(scenario, engines=2, configuration=unrepeatable_streams())
 
 
+# Guards against the same where nothing else tells that the engine stops: it resets one
+# connection and keeps the others open.
+def test_an_engine_that_keeps_other_connections_open_has_not_ended():
+    async def scenario(system):
+        async def stop_listening(engine):
+            engine.crash()
+
+        break_connections(system, stop_listening)
+        kept = [
+            await system.node.pool.open(engine.address, timeout_s=1.0)
+            for engine in system.engines
+        ]
+        response = await system.request(headers=PROMPT)
+        assert not response.complete
+        assert len(system.attempts()) == 1
+        assert not any(connection.closed for connection in kept)
+
+    run_scenario(scenario, engines=2, configuration=unrepeatable_streams())
+
+
 # Guards against the same where the entry of the engine was removed just after the
 # registry was back: some engines stop without any other sign.
 def test_an_engine_whose_entry_was_removed_provisionally_has_not_ended():
