--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -23,8 +23,6 @@
     ----------
     fail_with : int or None
         Status of all responses while it is set; no request is carried out then.
-    silent : bool
-        Whether requests get no answer at all.
     lose_answers : bool
         Whether writes are carried out but the connection closes without a response.
     history_start : int
@@ -37,7 +35,6 @@
         self.history_start = 0
         self.fail_with: int | None = None
         self.lose_answers = False
-        self.silent = False
         self.request_paths: list[str] = []
         self.changed = asyncio.Event()
         self.address = ""
@@ -101,10 +98,6 @@
     def initialize(self, store: StoreStandIn) -> None:
         self.store = store
 
-    async def prepare(self) -> None:
-        if self.store.silent:
-            await asyncio.Event().wait()
-
     async def get(self) -> None:
         store, path = self.store, self.request.path
         store.request_paths.append(path)
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -7,7 +7,7 @@
 import pytest
 
 from misbehaving_clients import running_process
-from platform_standins import request
+from platform_standins import _StoreHandler, request
 from router_process import PROMPT, wait_until
 
 # Routes let their requests last longer than the grace period.
@@ -120,12 +120,17 @@
 # Guards against taking requests for longer than the notice because the order lease is
 # given back at a store that does not answer. Requests that come 3 s after SIGTERM have
 # to be ended by the process that took them.
-def test_requests_are_refused_on_time_in_a_stop_although_the_store_is_silent(tmp_path):
+def test_requests_are_refused_on_time_in_a_stop_although_the_store_is_silent(
+    tmp_path, monkeypatch
+):
+    async def never_answer(handler):
+        await asyncio.Event().wait()
+
     async def scenario():
         async with running_process(tmp_path) as running:
             lease = ("endivelug", "lease/all/orders")
             await wait_until(lambda: lease in running.store.rows, ANSWER_TIMEOUT_S)
-            running.store.silent = True
+            monkeypatch.setattr(_StoreHandler, "prepare", never_answer)
             await begin_stop(running)
             await asyncio.sleep(3.0)
             before = len(running.desk.exchanges)
