Take from the retry budget only while the relay knows what was taken

Seen: retries beyond the limit when the reports of members reach their relays late, while the reports of the relays still arrive (a path that is cut one way). Cause: a member took from the pool again and again while it heard its relay, though its relay had none of its reports. Once the reports arrived, a relay was current at once, but what another relay had just heard from its members had not been passed on. Change: reports of a member to its relay have to be acknowledged within the time in which a neighbour has to be heard; relays acknowledge them already. A VM that was not current takes again after that time only. Open: a relay does not tell its neighbours that it has not heard a member, so those go on.

--- a/src/endivelug/forwarding/neighbour.py
+++ b/src/endivelug/forwarding/neighbour.py
@@ -1,5 +1,6 @@
 """State of one linked VM, from its reports and from what was sent to it."""
 
+from collections import deque
 from dataclasses import dataclass, field
 
 from endivelug.forwarding.neighbour_sums import Load, RetryCount, SentAmounts
@@ -51,6 +52,9 @@
         Amounts as it stated them. The totals of a relay include those of this VM.
     sent_loads, sent_retries, sent_shared : SentAmounts
         What this VM has reported to it.
+    unacknowledged : deque of (int, float)
+        Numbers and times of the reports to it that it has not acknowledged, if it is
+        the relay of this VM.
     """
 
     last_received_at: float
@@ -75,3 +79,15 @@
     sent_loads: SentAmounts[Load] = field(default_factory=SentAmounts)
     sent_retries: SentAmounts[RetryCount] = field(default_factory=SentAmounts)
     sent_shared: SentAmounts[Amounts] = field(default_factory=SentAmounts)
+    unacknowledged: deque[tuple[int, float]] = field(default_factory=deque)
+
+    def acknowledge(self, sequence: int) -> None:
+        """Record that it has applied the reports up to a number."""
+        while self.unacknowledged and self.unacknowledged[0][0] <= sequence:
+            self.unacknowledged.popleft()
+
+    def knows_reports_since(self, at: float) -> bool:
+        """Return whether it has applied what this VM, as its member, sent before."""
+        if self.own_number == NO_MEMBER or not self.unacknowledged:
+            return True
+        return self.unacknowledged[0][1] >= at
--- a/src/endivelug/forwarding/peer_reports.py
+++ b/src/endivelug/forwarding/peer_reports.py
@@ -143,6 +143,7 @@
         acknowledged = 0
         if 0 <= neighbour.own_number < len(report.acknowledged):
             acknowledged = report.acknowledged[neighbour.own_number]
+            neighbour.acknowledge(acknowledged)
         loads = _changes(
             self.view.loads.neighbours,
             vm,
--- a/src/endivelug/forwarding/report_sender.py
+++ b/src/endivelug/forwarding/report_sender.py
@@ -131,6 +131,7 @@
         neighbour = self.neighbours[vm]
         if not self.forwards() and report.sequence:
             _record_sent(neighbour, report)
+            neighbour.unacknowledged.append((report.sequence, self.clock()))
         try:
             self.links[vm].send(report, encoded=encoded)
         except LinkBusy:
--- a/src/endivelug/forwarding/retry_budget_watch.py
+++ b/src/endivelug/forwarding/retry_budget_watch.py
@@ -55,6 +55,7 @@
             # Reports from before and during the pause are read first.
             self.current_from = now + CURRENT_S
         self.checked_at = now
+        self.is_current()
         registered = self.count_registered()
         if not registered:
             cautious_until = max(self.budget.cautious_until, now + UNLISTED_S)
@@ -63,16 +64,24 @@
         self.budget.vms = max(self.budget.vms, self.count_vms(), registered)
 
     def is_current(self) -> bool:
-        """Return whether what the neighbours have taken from the pool is known."""
+        """Return whether what this VM and the others took from the pool is known."""
         now = self.clock()
-        if now < self.current_from or now - self.checked_at > CURRENT_S:
+        if now - self.checked_at > CURRENT_S:
             return False
-        return all(
-            item.received_sequence > 0
-            and not item.missed
-            and now - item.last_received_at <= CURRENT_S
-            for item in self.neighbours.values()
-        )
+        if not all(_is_heard(item, now=now) for item in self.neighbours.values()):
+            # What was late passes a relay before all know it.
+            self.current_from = max(self.current_from, now + CURRENT_S)
+        return now >= self.current_from
+
+
+def _is_heard(neighbour: Neighbour, *, now: float) -> bool:
+    """Return whether the amounts of a neighbour and of this VM have arrived."""
+    return (
+        neighbour.received_sequence > 0
+        and not neighbour.missed
+        and now - neighbour.last_received_at <= CURRENT_S
+        and neighbour.knows_reports_since(now - CURRENT_S)
+    )
 
 
 def make_retry_budget_watch(peers: Peers) -> RetryBudgetWatch:
