Take no engine for silent that was heard during its check

Seen: all routers leave an engine for a second or more, and streams that may run again leave it, because one packet of a connection attempt was lost. The engine had been quiet for a third of a second and went on while the attempt waited. Cause: the silence was looked at before the attempt, and not again after it. Change: the engine has to be quiet still when the attempt has failed.

--- a/src/endivelug/forwarding/silence_watch.py
+++ b/src/endivelug/forwarding/silence_watch.py
@@ -131,7 +131,10 @@
         shown = await self._check_once(instance)
         if shown is Reach.ACCEPTS:
             load.reached_at = self.clock()
-        elif shown is not Reach.UNKNOWN and not load.silent and load.work:
+            return
+        # It may have sent something meanwhile.
+        quiet = self._is_silent(instance, load, ENGINE_SUSPECT_S)
+        if shown is not Reach.UNKNOWN and not load.silent and quiet:
             load.unreachable = True
             self._mark_silent(instance, load)
 
