Take no engine for cut off while it is heard

Seen: a stream that may run only once leaves its engine and goes on at another one while the first still runs it and sends events. The new test on the code before: "assert False", the stream was broken off although its engine sent all of it. Cause: an engine that is quiet for a moment and has no room for new connections leaves the checks without an answer; what arrives on the connection of the run was not looked at, neither during the checks nor after them. Change: an engine that was heard during the checks is not cut off, and any byte from it ends that state. Each half alone leaves the test failing. Open: an engine that is stopped, with its queue of connections full, is silent as well, and is still taken for cut off. Its kernel acknowledges, which is not looked at.

--- a/src/endivelug/forwarding/instance_load.py
+++ b/src/endivelug/forwarding/instance_load.py
@@ -212,6 +212,7 @@
         """Record a byte received from an instance, also for the other VMs."""
         load = self.of(instance)
         load.last_byte_at = now
+        load.cut_off = False
         if now >= load.counted_at + COUNT_INTERVAL_S:
             load.counted_at = now
             self._change_own(instance, load, Load(heard=1))
--- a/src/endivelug/forwarding/silence_watch.py
+++ b/src/endivelug/forwarding/silence_watch.py
@@ -151,8 +151,11 @@
         load = self.view.loads.of(instance.name)
         while self.view.registry.get(instance.name) == instance:
             if load.unreachable and not load.cut_off:
+                began_at = self.clock()
                 shown = await self.reach.check_cut_off(instance.address)
-                load.cut_off = shown is Reach.NO_ANSWER
+                # One that is heard has no room for new connections.
+                heard = load.last_byte_at >= began_at
+                load.cut_off = shown is Reach.NO_ANSWER and not heard
                 self.on_avoid(instance.name, AVOID_NOTICE_S)
             await asyncio.sleep(PROBE_INTERVAL_S * self.rng.uniform(0.7, 1.3))
             shown = await self._check_once(instance)
