--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,7 +12,8 @@
 from soak.retry_rule import RetryRule
 from soak.runs import Run, UpstreamRecord
 
-# Add each seed that violated a guarantee, with a comment on the cause.
+# Add each seed that violated a guarantee, with a comment on the cause. Seed 1: an
+# upstream's own failure is passed on with a status that promises "not run".
 SEEDS = (1,)
 SECONDS = 8.0
 
