--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -69,6 +69,7 @@
         if scenario is None:
             await faults.run(end, mean_interval_s=MEAN_FAULT_INTERVAL_S)
         else:
+            faults.log.add("scenario", "upstreams", seconds)
             await scenario(faults, end)
         await asyncio.gather(*callers)
         await asyncio.sleep(1.0)
