Test pauses at cache stores and at streams that begin, and time-outs of connections

Three checks could be taken out without a failing test: that a pause of the process makes no cache store avoided, that the silence of an engine is measured from the end of a pause, and that a connection which ends with a time-out was not closed by its upstream. Each new test fails with its check taken out, and passes on the code as it is.

--- a/tests/test_cache_stores.py
+++ b/tests/test_cache_stores.py
@@ -3,10 +3,11 @@
 import asyncio
 import random
 
+from endivelug.exceptions import UpstreamNotAnswering
 from endivelug.forwarding.cache_store_watch import CacheStoreWatch
 from endivelug.forwarding.connection_pool import ConnectionPool
 from endivelug.forwarding.copy_sources import CacheLocation, CopySources
-from endivelug.forwarding.process_pauses import ProcessPauses
+from endivelug.forwarding.process_pauses import PAUSE_S, ProcessPauses
 from endivelug.forwarding.prompt_cache import PromptSegment
 from forwarding_builders import (
     LogRecorder,
@@ -94,6 +95,33 @@
     asyncio.run(run())
 
 
+# Guards against a store that no router uses because one router was paused while it
+# connected.
+def test_the_watch_reports_no_store_because_of_a_pause(monkeypatch):
+    avoided, clock = [], ManualClock()
+    view = view_with_stores("a:1", clock=clock)
+    pauses = ProcessPauses(clock=clock)
+    watch = CacheStoreWatch(
+        view=view,
+        pool=ConnectionPool(clock=clock),
+        pauses=pauses,
+        is_needed=lambda: True,
+        on_avoid=lambda address, for_s: avoided.append(address),
+        clock=clock,
+        rng=random.Random(1),
+        log=LogRecorder(),
+    )
+
+    async def fail_after_pause(pool, address, **options):
+        clock.now += 2 * PAUSE_S
+        raise UpstreamNotAnswering("no answer in time")
+
+    monkeypatch.setattr(ConnectionPool, "acquire", fail_after_pause)
+    pauses.tick()
+    asyncio.run(watch.check("a:1"))
+    assert avoided == []
+
+
 # Guards against prefilling shared prefixes again because the engine to copy from has
 # evicted them, although a store still has them (load: 79 routers, each of which sees
 # few of an engine's requests).
--- a/tests/test_process_pauses.py
+++ b/tests/test_process_pauses.py
@@ -14,7 +14,10 @@
 import uvloop
 
 from endivelug.forwarding import attempt_limits
-from endivelug.forwarding.attempt_limits import SAFE_ATTEMPT_SHARE
+from endivelug.forwarding.attempt_limits import (
+    ENGINE_SILENCE_MARGIN_S,
+    SAFE_ATTEMPT_SHARE,
+)
 from endivelug.forwarding.connection_pool import ConnectionPool
 from endivelug.forwarding.engine_reach import EngineReach, Reach
 from endivelug.forwarding.loop_watch import LoopWatch
@@ -84,6 +87,22 @@
     run_scenario(scenario, new_loop=uvloop.new_event_loop)
 
 
+# Guards against the same for a stream whose engine had not begun to answer.
+def test_a_stream_that_began_during_a_pause_stays_at_its_engine():
+    async def scenario(system):
+        async def script(exchange):
+            data = response_bytes(exchange.id, b"id: 1\ndata: whole\n\n")
+            await answer_before_pause(exchange, data, 2 * ENGINE_SILENCE_MARGIN_S)
+
+        for engine in system.engines:
+            engine.script = script
+        async with ticking(system.node.loop_watch):
+            await system.request(headers={**PROMPT, "X-Deadline-Ms": "9000"})
+        assert len(system.attempts()) == 1
+
+    run_scenario(scenario, engines=2, new_loop=uvloop.new_event_loop)
+
+
 # Guards against engines that are left by all routers because one router was paused.
 def test_an_engine_is_not_silent_because_this_process_was_paused():
     async def scenario(system):
--- a/tests/test_upstream_connection.py
+++ b/tests/test_upstream_connection.py
@@ -16,6 +16,7 @@
     BodyEnd,
     RequestHead,
     ResponseHead,
+    UpstreamConnection,
 )
 from platform_standins import response_bytes, running_upstream
 from unanswered_connections import FullListener
@@ -220,3 +221,15 @@
 
     with asyncio.Runner(loop_factory=new_loop) as runner:
         runner.run(scenario())
+
+
+# Guards against taking an upstream that acknowledges nothing for one that closed its
+# connection: it may still run the request.
+@pytest.mark.parametrize(
+    ("error", "closed"),
+    [(None, True), (ConnectionResetError(), True), (TimeoutError(), False)],
+)
+def test_only_a_close_or_a_reset_is_that_of_the_upstream(error, closed):
+    connection = UpstreamConnection(clock=time.monotonic)
+    connection.connection_lost(error)
+    assert connection.closed_by_peer is closed
