--- a/src/endivelug/forwarding/buffers/admission.py
+++ b/src/endivelug/forwarding/buffers/admission.py
@@ -21,8 +21,9 @@
 if TYPE_CHECKING:
     from endivelug.forwarding.front_server import Writer
 
-# Statuses that guarantee that the request did not run.
-NOT_RUN_STATUSES = (400, 401, 404, 413, 429, 503)
+# Statuses that the router itself gives only to requests that did not run. What a status
+# promises to callers, also one of an upstream, is in ``not_run_statuses``.
+OWN_NOT_RUN_STATUSES = (400, 401, 404, 413, 429, 503)
 
 
 class Admission:
@@ -130,7 +131,7 @@
     retry_after_s: float | None = None,
 ) -> HeadRefused:
     """Return a response that the router itself gives."""
-    run = "not-run" if status in NOT_RUN_STATUSES else "may-have-run"
+    run = "not-run" if status in OWN_NOT_RUN_STATUSES else "may-have-run"
     body = json.dumps({"status": status, "detail": reason, "run": run})
     headers = wire.refusal_headers(request_id, retry_after_s)
     return HeadRefused(status=status, headers=headers, body=body.encode())
