--- a/src/endivelug/forwarding/pace/upstream_pace.py
+++ b/src/endivelug/forwarding/pace/upstream_pace.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 from collections.abc import Callable
-from typing import Protocol
 
 from endivelug.forwarding.cluster_view import ClusterView
 from endivelug.forwarding.instances import Instance
@@ -11,11 +10,9 @@
 from endivelug.forwarding.pace.slow_starts import SlowStarts, Traffic
 from endivelug.forwarding.pace.stated_pauses import stated_pause
 from endivelug.forwarding.peer_messages import NoticeKind
-from endivelug.forwarding.peer_reports import PeerReportApplier
 from endivelug.forwarding.requests import ResponseInfo
-from endivelug.forwarding.retry_budget import SharedRetryBudget
-from endivelug.forwarding.shared_amounts import SharedAmounts, SharedAmountTable
-from endivelug.forwarding.stated_limits.stated_limits import StatedLimits
+from endivelug.forwarding.shared_amounts import SharedAmounts
+from endivelug.forwarding.stated_limits.stated_limits import Links, StatedLimits
 
 # An upstream whose answers all state an unusable time gets one log line in this time.
 FAULT_LOG_INTERVAL_S = 10.0
@@ -23,21 +20,6 @@
 ROUND_S = 0.25
 
 
-class Links(Protocol):
-    """The links to the other VMs."""
-
-    shared: SharedAmountTable
-    budget: SharedRetryBudget
-    report_applier: PeerReportApplier
-
-    @property
-    def vms(self) -> int:
-        """Number of live VMs, including this one."""
-
-    def send_notice(self, name: str, kind: NoticeKind, for_s: float) -> None:
-        """Send an expiring notice to all VMs."""
-
-
 class UpstreamPace:
     """Pauses, departures and pace of the upstreams, as this VM knows them."""
 
--- a/tests/misbehaving_clients.py
+++ b/tests/misbehaving_clients.py
@@ -51,6 +51,15 @@
         headers = {"X-Request-Id": "q1", **KEY, **changes.pop("headers", {})}
         return await request(self.front, headers=headers, **changes)
 
+    async def check_bounds(self, *, memory_mb):
+        """Check that the process lives within its bounds and still serves."""
+        assert self.process.returncode is None
+        assert self.descriptors < MAX_FDS
+        assert await self.answers_ordinary_request()
+        assert self.process.returncode is None
+        assert self.peak_bytes < memory_mb * 1024 * 1024
+        assert self.descriptors < MAX_FDS
+
     async def answers_ordinary_request(self):
         """Return whether one ordinary request is answered within many attempts."""
         with contextlib.suppress(TimeoutError):
--- a/tests/test_faulty_upstreams.py
+++ b/tests/test_faulty_upstreams.py
@@ -17,7 +17,7 @@
     EndlessUpstream,
     FaultyFor,
 )
-from misbehaving_clients import MAX_FDS, Callers, running_process
+from misbehaving_clients import Callers, running_process
 from platform_standins import response_bytes
 from router_process import PROMPT
 
@@ -63,12 +63,7 @@
             callers = Callers(running, target=target, headers=PROMPT, reads=reads)
             try:
                 await callers.send("many", CALLERS)
-                assert running.process.returncode is None
-                assert running.descriptors < MAX_FDS
-                assert await running.answers_ordinary_request()
-                assert running.process.returncode is None
-                assert running.peak_bytes < MEMORY_MB * 1024 * 1024
-                assert running.descriptors < MAX_FDS
+                await running.check_bounds(memory_mb=MEMORY_MB)
             finally:
                 await callers.close()
 
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -6,7 +6,6 @@
 
 from misbehaving_clients import (
     KEY,
-    MAX_FDS,
     MEMORY_MB,
     PIECE_BYTES,
     Clients,
@@ -66,12 +65,7 @@
             clients = Clients(running)
             try:
                 await misbehave(clients)
-                assert running.process.returncode is None
-                assert running.descriptors < MAX_FDS
-                assert await running.answers_ordinary_request()
-                assert running.process.returncode is None
-                assert running.peak_bytes < MEMORY_MB * 1024 * 1024
-                assert running.descriptors < MAX_FDS
+                await running.check_bounds(memory_mb=MEMORY_MB)
             finally:
                 await clients.close()
 
