Log why a retry is not sent, and what showed that a run has ended

The logs could not tell a retry that the budget denied (and whether only because the process had just started) from one for which no upstream was left, nor on what a stream that may run only once was or was not continued. Two lines, retry-denied and run-checked; both are tested.

--- a/src/endivelug/forwarding/call_recorder.py
+++ b/src/endivelug/forwarding/call_recorder.py
@@ -114,6 +114,18 @@
             **fields,
         )
 
+    def record_retry_denied(self, call: Call, *, used: float, cautious: bool) -> None:
+        """Log that the shared budget allows no retry of a call.
+
+        Parameters
+        ----------
+        used : float
+            Retries of this VM that count at present.
+        cautious : bool
+            Whether none are sent because this process has just started.
+        """
+        self.log("retry-denied", **_fields(call), used=used, cautious=cautious)
+
     def record_left(self, call: Call) -> None:
         """Log and count a call whose caller closed the connection before its end."""
         if call.recorded_end:
--- a/src/endivelug/forwarding/forwarder.py
+++ b/src/endivelug/forwarding/forwarder.py
@@ -314,7 +314,14 @@
 
     def _reserve_retry(self, call: Call) -> bool:
         """Return whether the budget allows a retry, and keep it for the call."""
-        call.retry = self.budget.reserve(call.service, now=self.clock())
+        now = self.clock()
+        call.retry = self.budget.reserve(call.service, now=now)
+        if call.retry is None:
+            self.recorder.record_retry_denied(
+                call,
+                used=self.budget.used(call.service, now=now),
+                cautious=now < self.budget.cautious_until,
+            )
         return call.retry is not None
 
     def _record_failure(
--- a/src/endivelug/forwarding/retry_budget.py
+++ b/src/endivelug/forwarding/retry_budget.py
@@ -169,6 +169,10 @@
         self.record_sent(reservation, now=now)
         return True
 
+    def used(self, service: str, *, now: float) -> float:
+        """Return the retries of this VM that count: sent in the window, or waiting."""
+        return self._counts_of(service).used(now=now)
+
     def requests_per_s(self, service: str, *, now: float) -> float:
         """Return the rate of the requests of all VMs in the window."""
         own = self._counts_of(service).requests.total(now=now)
--- a/src/endivelug/forwarding/stream_recovery.py
+++ b/src/endivelug/forwarding/stream_recovery.py
@@ -39,7 +39,16 @@
             return None
         if not call.streaming or call.splitter.last_id is None:
             return None
-        if not await self._has_ended(failed.instance, outcome):
+        has_ended = await self._has_ended(failed.instance, outcome)
+        self.view.log(
+            "run-checked",
+            request=call.request.id,
+            instance=failed.instance.name,
+            closed_by_engine=outcome.closed,
+            cut_off=self.view.loads.of(failed.instance.name).cut_off,
+            ended=has_ended,
+        )
+        if not has_ended:
             return None
         registered = self.view.registry.get(backup.name)
         if registered is None or registered.incarnation != backup.incarnation:
--- a/tests/test_retry_budget_path.py
+++ b/tests/test_retry_budget_path.py
@@ -2,6 +2,7 @@
 
 import time
 
+from platform_standins import Exchange
 from router_process import metrics_port, run_scenario
 
 __all__ = ["metrics_port"]
@@ -52,3 +53,20 @@
         assert counted(system) == (0, 0)
 
     run_scenario(scenario, desks=2)
+
+
+# Guards against logs that do not tell a retry that the budget denied from one that no
+# upstream could take.
+def test_a_denied_retry_is_logged():
+    async def scenario(system):
+        for desk in system.desks:
+            desk.script = Exchange.reset_after_request
+        await system.request("/look/it")
+        (denied,) = [f for event, f in system.log.lines if event == "retry-denied"]
+        assert (denied["service"], denied["used"], denied["cautious"]) == (
+            "desk",
+            0,
+            False,
+        )
+
+    run_scenario(scenario, retry_ratio=0.0, retry_slack=0.0)
--- a/tests/test_runs_at_two_engines.py
+++ b/tests/test_runs_at_two_engines.py
@@ -123,6 +123,8 @@
         assert not response.complete
         assert len(system.attempts()) == 1
         assert not any(connection.closed for connection in kept)
+        (checked,) = [f for event, f in system.log.lines if event == "run-checked"]
+        assert (checked["closed_by_engine"], checked["ended"]) == (True, False)
 
     run_scenario(scenario, engines=2, configuration=unrepeatable_streams())
 
