Check planned stops by the times of both sides of a request

Operators saw streams that a stopping router had passed on end without a whole answer; the soak passed. Cause: its check looked only at requests without a status, although a stream has its status 200 long before its end, and it let each stop pass during which the store or any upstream was disturbed.

The check now follows the rule in tests/soak/planned_stops.py: from SIGTERM until 1 s after the grace period, a connection must not end without a whole answer once the request was passed on, or from 0.2 s after its last byte. What excuses a request is stated there: a disturbance of its own router or of the upstreams that it was passed to, an engine that broke off, the deadline or the timeout of the route, an engine that worked in the last sixth of the grace period on a request sent within 3 s of the signal. The store and other upstreams excuse nothing. Two readings are stricter than this wording: the connection must have ended in the last sixth as well, since an engine that does not notice a cut works on, and "sent" is the last byte. Requests behind another on one connection count once this one was answered without announcing the close; those of callers that shut down their sending side are listed among the excused, not counted.

The old case of the check (no status, a run) is kept within the new table: a request without a status that was passed on is still reported. Faults of the path between a router and the store are recorded under a name of their own.

Evidence: 19 seeded cuts are reported and 15 excuses are not (tests/test_soak.py); each cut differs from an excuse in one time or one component. On the check before this change, the cuts with a status were not reported.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -11,9 +11,11 @@
 from collections import Counter
 from dataclasses import asdict, dataclass
 from pathlib import Path
+from typing import Any
 
 from .courses import courses_of
 from .faults import Faults
+from .outcomes import Outcome
 from .promises import GuaranteeChecker
 from .retry_rule import SERVICES, RetryRule
 from .scenarios import SCENARIOS, Scenario
@@ -27,13 +29,25 @@
 
 @dataclass(slots=True, kw_only=True)
 class SoakResult:
-    """Result of the soak with one seed."""
+    """Result of the soak with one seed.
+
+    Attributes
+    ----------
+    statuses : dict of str to int
+        Number of requests by kind, status and whether the answer was whole.
+    excused : list of str
+        Requests that a planned stop left without a whole answer, with the reason why
+        they are not counted as cut off.
+    """
 
     seed: int
     requests: int
     served: int
     faults: list[tuple[float, str]]
     violations: list[str]
+    statuses: dict[str, int]
+    stops: list[dict[str, Any]]
+    excused: list[str]
     courses: dict[str, list[str]]
     budget_shares: dict[str, float]
     unexpected_exits: list[str]
@@ -88,15 +102,24 @@
             routers=environment.router_names(),
             retry_rule=rule,
             quotas=QUOTAS,
+            stops=[stop for router in environment.routers for stop in router.stops],
         )
         violations = checker.violations()
+        excused = [
+            f"{excuse.value}: {request}"
+            for request, excuse in checker.stopped_requests()
+            if excuse is not None
+        ]
         return SoakResult(
             seed=seed,
             requests=len(environment.callers.outcomes),
             served=sum(1 for item in environment.callers.outcomes if item.served),
             faults=faults.log.lines,
             violations=violations,
-            courses=courses_of(violations, environment, folder),
+            statuses=dict(sorted(_statuses(environment.callers.outcomes).items())),
+            stops=[asdict(stop) for stop in checker.stops],
+            excused=excused,
+            courses=courses_of(violations + excused, environment, folder),
             budget_shares={
                 service: rule.worst_share(
                     service, environment.record.arrivals, environment.callers.outcomes
@@ -112,6 +135,13 @@
         )
 
 
+def _statuses(outcomes: list[Outcome]) -> Counter[str]:
+    return Counter(
+        f"{item.kind} {item.status}{'' if item.complete else ' incomplete'}"
+        for item in outcomes
+    )
+
+
 def main() -> None:
     """Run the soak with one or more seeds; exit 1 if a guarantee was violated."""
     parser = argparse.ArgumentParser(prog="soak")
@@ -152,6 +182,11 @@
                         line.partition(":")[0].split(" 0.")[0]
                         for line in result.violations
                     ),
+                    "stops": len(result.stops),
+                    "killed": sum(stop["killed"] for stop in result.stops),
+                    "excused": Counter(
+                        line.partition(":")[0] for line in result.excused
+                    ),
                     "violations": result.violations[:10],
                     "budget_shares": result.budget_shares,
                     "unexpected_exits": result.unexpected_exits,
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -8,22 +8,13 @@
 
 import h11
 
+from .kinds import KINDS
+from .outcomes import Outcome
 from .routers import Router
 
-# Kinds of requests: "review" is a stream that may be resumed and "short" one that must
-# run once; "order" must run once and "look" may run again.
-KINDS = ("review", "short", "order", "look")
-# Most requests may run again, so that routers need their retry budget.
-KIND_WEIGHTS = (1, 3, 2, 5)
-STREAM_KINDS = ("review", "short")
-ONCE_KINDS = ("short", "order")
-TARGETS = {
-    "review": "/a/x",
-    "short": "/short/x",
-    "order": "/a/orders/x",
-    "look": "/look/x",
-}
-DEADLINE_S = {"review": 6.0, "short": 6.0, "order": 1.0, "look": 1.0}
+# The kinds that most callers send; most requests may run again, so that routers need
+# their retry budget.
+KIND_WEIGHTS = {"review": 1, "short": 3, "order": 2, "look": 5}
 CONNECT_TIMEOUT_S = 1.0
 PROBE_INTERVAL_S = 0.5
 # Requests on one connection before the caller opens a new one.
@@ -31,39 +22,6 @@
 MEAN_PAUSE_S = 0.05
 
 
-@dataclass(slots=True, kw_only=True)
-class Outcome:
-    """Outcome of one request, as observed by its caller.
-
-    Attributes
-    ----------
-    status : int
-        HTTP status; 0 if no response arrived.
-    complete : bool
-        Whether the whole response arrived.
-    connected : bool
-        Whether the router accepted a connection.
-    stopping : bool
-        Whether the router was being stopped when the request ended.
-    """
-
-    request: str
-    kind: str
-    key: str
-    router: str
-    sent_at: float
-    ended_at: float = 0.0
-    status: int = 0
-    complete: bool = False
-    body: bytes = b""
-    connected: bool = True
-    stopping: bool = False
-
-    @property
-    def served(self) -> bool:
-        return self.status == 200 and self.complete
-
-
 @dataclass(slots=True, kw_only=True)
 class _Connection:
     router: Router
@@ -110,6 +68,24 @@
         if connection is not None:
             connection.writer.close()
 
+    def choose_router(self) -> Router:
+        """Return a router for a new connection, as the load balancer does."""
+        ready = [router for router in self.routers if router.ready]
+        return self.rng.choice(ready or self.routers)
+
+    def new_outcome(self, kind: str, router: Router) -> Outcome:
+        """Return the record of a request that is about to be sent."""
+        outcome = Outcome(
+            request=f"{self.rng.randrange(1 << 64):016x}",
+            kind=kind,
+            key=self.rng.choice(self.keys),
+            router=router.name,
+            sent_at=time.monotonic(),
+            deadline_s=KINDS[kind].deadline_s,
+        )
+        self.outcomes.append(outcome)
+        return outcome
+
     async def _probe(self, router: Router) -> None:
         host, _, port = router.ready_address.rpartition(":")
         writer = None
@@ -129,19 +105,11 @@
         router.was_ready = router.was_ready or ready
 
     async def _send_request(self, connection: _Connection | None) -> _Connection | None:
-        (kind,) = self.rng.choices(KINDS, KIND_WEIGHTS)
-        ready = [router for router in self.routers if router.ready] or self.routers
-        router = connection.router if connection else self.rng.choice(ready)
-        outcome = Outcome(
-            request=f"{self.rng.randrange(1 << 64):016x}",
-            kind=kind,
-            key=self.rng.choice(self.keys),
-            router=router.name,
-            sent_at=time.monotonic(),
-        )
-        self.outcomes.append(outcome)
+        (kind,) = self.rng.choices([*KIND_WEIGHTS], [*KIND_WEIGHTS.values()])
+        router = connection.router if connection else self.choose_router()
+        outcome = self.new_outcome(kind, router)
         try:
-            async with asyncio.timeout(DEADLINE_S[kind] + 1.0):
+            async with asyncio.timeout(outcome.deadline_s + 1.0):
                 if connection is None:
                     connection = await self._connect(router, outcome)
                 if connection is not None:
@@ -149,7 +117,6 @@
         except (OSError, TimeoutError, h11.RemoteProtocolError):
             pass
         outcome.ended_at = time.monotonic()
-        outcome.stopping = router.stopping
         return self._reuse_or_close(connection, outcome)
 
     def _reuse_or_close(
@@ -184,13 +151,12 @@
     async def _exchange(self, connection: _Connection, outcome: Outcome) -> None:
         parser, writer = connection.parser, connection.writer
         outcome.sent_at = time.monotonic()
-        request = h11.Request(
-            method="GET" if outcome.kind == "look" else "POST",
-            target=TARGETS[outcome.kind],
-            headers=_headers(outcome),
-        )
+        kind = KINDS[outcome.kind]
+        headers = [*headers_of(outcome), ("Content-Length", "0")]
+        request = h11.Request(method=kind.method, target=kind.target, headers=headers)
         writer.write(parser.send(request) or b"")
         writer.write(parser.send(h11.EndOfMessage()) or b"")
+        outcome.last_byte_at = time.monotonic()
         while True:
             event = parser.next_event()
             if event is h11.NEED_DATA:
@@ -206,15 +172,15 @@
                 return
 
 
-def _headers(outcome: Outcome) -> list[tuple[str, str]]:
+def headers_of(outcome: Outcome) -> list[tuple[str, str]]:
+    """Return the headers of a request without those of its body."""
     headers = [
         ("Host", "h.example"),
-        ("Content-Length", "0"),
         ("X-Request-Id", outcome.request),
-        ("X-Deadline-Ms", str(int(1000 * DEADLINE_S[outcome.kind]))),
+        ("X-Deadline-Ms", str(int(1000 * outcome.deadline_s))),
         ("X-Credential", outcome.key),
     ]
-    if outcome.kind in STREAM_KINDS:
+    if KINDS[outcome.kind].streaming:
         segments = f"aa:1200,{outcome.request[:8]}:300"
         headers += [
             ("X-Model", "m"),
--- a/tests/soak/fault_log.py
+++ b/tests/soak/fault_log.py
@@ -3,7 +3,7 @@
 import time
 from dataclasses import dataclass, field
 
-from .promises import Disturbances
+from .disturbances import Disturbances
 
 
 @dataclass(slots=True, kw_only=True)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -5,8 +5,8 @@
 import time
 from collections.abc import Awaitable, Callable
 
+from .disturbances import Disturbances, store_path_of
 from .fault_log import FaultLog
-from .promises import Disturbances
 from .router_faults import RouterFaults
 from .upstream_faults import MODES, UpstreamFaults, disturb
 from .world import Environment
@@ -91,7 +91,7 @@
             store.fail_with is None
             and not store.lose_answers
             and self.disturbances.none_during(
-                ("store", *self.environment.router_names()), now, now
+                ("store", *self.environment.routers_and_paths()), now, now
             )
         )
 
@@ -120,7 +120,8 @@
     async def disturb_store_path(self) -> None:
         router = self.rng.choice(self.environment.routers)
         seconds, mode = self.rng.uniform(0.5, 4.0), self.rng.choice(MODES)
-        self.log.add(f"store {mode.value}", router.name, seconds + 1.0)
+        path = store_path_of(router.name)
+        self.log.add(mode.value, path, seconds + 1.0)
         proxy = self.environment.store_proxies[router.name]
         await disturb(proxy, mode, seconds, self.rng)
 
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -2,15 +2,16 @@
 
 from bisect import bisect_left
 from collections import defaultdict
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from .answering import FAILURE_BODY
-from .callers import ONCE_KINDS, STREAM_KINDS, TARGETS, Outcome
+from .disturbances import Disturbances, path_to, store_path_of
+from .kinds import EVENT_END, KINDS
+from .outcomes import Outcome
+from .planned_stops import Excuse, PlannedStop, StoppedRequest, stopped_requests
 from .retry_rule import RetryRule
 from .runs import Run, UpstreamRecord
 from .single_runs import overlapping_runs, repeated_runs
-from .upstreams import STREAMS
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 # Time until a new configuration is in force, and tolerance for a busy test machine.
@@ -50,38 +51,6 @@
     ends_at: float = float("inf")
 
 
-@dataclass(slots=True, kw_only=True)
-class Disturbances:
-    """Periods in which faults disturbed components of the deployment.
-
-    Attributes
-    ----------
-    margin_s : float
-        A component counts as disturbed for this long after a disturbance.
-    spans : list of (str, float, float)
-        Component, begin and end of each disturbance. Components are ``store``,
-        ``upstreams`` and the names of routers.
-    """
-
-    margin_s: float = 3.0
-    spans: list[tuple[str, float, float]] = field(default_factory=list)
-
-    def add(self, component: str, begin: float, end: float) -> None:
-        """Record a disturbance."""
-        self.spans.append((component, begin, end))
-
-    def none_during(self, components: Iterable[str], begin: float, end: float) -> bool:
-        """Return whether no component was disturbed from ``begin`` to ``end``.
-
-        The time ``margin_s`` before ``begin`` counts as well.
-        """
-        names = set(components)
-        return not any(
-            component in names and first <= end and begin - self.margin_s <= last
-            for component, first, last in self.spans
-        )
-
-
 @dataclass(slots=True, kw_only=True)
 class GuaranteeChecker:
     """Finds violations of the guarantees in the observations of one run."""
@@ -95,6 +64,7 @@
     routers: list[str]
     retry_rule: RetryRule
     quotas: dict[str, RequestQuota] = field(default_factory=dict)
+    stops: list[PlannedStop] = field(default_factory=list)
 
     def violations(self) -> list[str]:
         """Return one line for each violation."""
@@ -105,7 +75,6 @@
                 outcome, self.record.runs.get(outcome.request, [])
             )
             violations += self._check_key(outcome)
-            violations += self._check_planned_stop(outcome)
         requested = {outcome.request for outcome in self.outcomes}
         violations += [
             f"unasked: {name}" for name in self.record.runs if name not in requested
@@ -117,7 +86,13 @@
             f"sent to a leaving upstream: {late}"
             for late in self.record.late_requests
             if self.disturbances.none_during(
-                (f"path to {late.upstream}", *self.routers), late.at, late.at
+                (
+                    path_to(late.upstream),
+                    *self.routers,
+                    *(store_path_of(name) for name in self.routers),
+                ),
+                late.at,
+                late.at,
             )
         ]
         return (
@@ -125,30 +100,41 @@
             + self._check_namespaces()
             + self.retry_rule.violations(self.record.arrivals, self.outcomes)
             + self._check_quotas()
+            + self._check_planned_stops()
             + self._check_availability()
         )
 
+    def stopped_requests(self) -> list[tuple[StoppedRequest, Excuse | None]]:
+        """Return the requests that a planned stop left without a whole answer."""
+        return [
+            (request, request.excuse(self.disturbances))
+            for request in stopped_requests(
+                self.outcomes, self.stops, self.record.passages, self.record.runs
+            )
+        ]
+
     def _check_response(self, outcome: Outcome) -> list[str]:
         if outcome.status != 200:
             return []
-        if outcome.kind not in STREAM_KINDS:
+        kind = KINDS[outcome.kind]
+        if not kind.streaming:
             whole = outcome.body == outcome.request.encode()
             return [] if whole or not outcome.complete else [f"mixed: {outcome}"]
-        count, _ = STREAMS[TARGETS[outcome.kind].split("/")[1]]
-        events = outcome.body.decode().split("\n\n")[:-1]
+        events = outcome.body.split(EVENT_END)[:-1]
         expected = [
-            f"id: {number}\ndata: {outcome.request}-{number}"
-            for number in range(1, count + 1)
+            kind.event(outcome.request, number).removesuffix(EVENT_END)
+            for number in range(1, kind.events + 1)
         ]
         if events != expected[: len(events)]:
-            return [f"order of events: {outcome.request} {events}"]
-        if outcome.complete and len(events) < count:
+            numbers = [event[:40] for event in events]
+            return [f"order of events: {outcome.request} {numbers}"]
+        if outcome.complete and len(events) < kind.events:
             return [f"incomplete stream looks complete: {outcome.request}"]
         return []
 
     def _check_runs(self, outcome: Outcome, runs: list[Run]) -> list[str]:
         violations = []
-        once = outcome.kind in ONCE_KINDS
+        once = KINDS[outcome.kind].once
         if once:
             violations += repeated_runs(runs) + overlapping_runs(runs)
         if outcome.kind == "look" and len(runs) > 2:
@@ -178,7 +164,7 @@
                 or not begin <= outcome.sent_at < period.ends_at
             ):
                 continue
-            components = ("store", outcome.router)
+            components = ("store", outcome.router, store_path_of(outcome.router))
             if not self.disturbances.none_during(
                 components, period.begins_at, outcome.ended_at
             ):
@@ -190,14 +176,12 @@
                 return [f"allowed although revoked: {outcome}"]
         return []
 
-    def _check_planned_stop(self, outcome: Outcome) -> list[str]:
-        if not outcome.stopping or outcome.status or not outcome.connected:
-            return []
-        runs = self.record.runs.get(outcome.request)
-        undisturbed = self.disturbances.none_during(
-            ("store", outcome.router, "upstreams"), outcome.sent_at, outcome.ended_at
-        )
-        return [f"cut by a planned stop: {outcome}"] if runs and undisturbed else []
+    def _check_planned_stops(self) -> list[str]:
+        return [
+            f"cut by a planned stop: {request}"
+            for request, excuse in self.stopped_requests()
+            if excuse is None
+        ]
 
     def _check_namespaces(self) -> list[str]:
         versions: dict[str, set[int | None]] = defaultdict(set)
@@ -248,6 +232,8 @@
             and item.status != 401
             # Any other refusal of this kind is a violation by itself.
             and item.status != 429
+            and not item.half_closed
+            and item.readable_at < item.ended_at
             and self.disturbances.none_during(
                 all_components, item.sent_at, item.ended_at
             )
--- a/tests/soak/retry_rule.py
+++ b/tests/soak/retry_rule.py
@@ -3,9 +3,13 @@
 from bisect import bisect_left
 from dataclasses import dataclass
 
-from .callers import Outcome
+from .kinds import KINDS
+from .outcomes import Outcome
 
-SERVICES = {"engines": ("review", "short"), "desk": ("order", "look")}
+SERVICES = {
+    service: tuple(kind.name for kind in KINDS.values() if kind.service == service)
+    for service in ("engines", "desk")
+}
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/tests/soak/router_faults.py
+++ b/tests/soak/router_faults.py
@@ -38,37 +38,40 @@
             self.reload_router,
         ]
 
-    def _random_router(self) -> Router:
+    def random_router(self) -> Router:
+        """Return one of the routers."""
         return self.rng.choice(self.environment.routers)
 
-    def _kill(self, router: Router) -> None:
+    def kill(self, router: Router) -> None:
+        """Kill a router."""
         self.log.add("kill", router.name, MAX_START_S)
         router.send_signal(signal.SIGKILL)
 
-    async def _pause(self, router: Router, seconds: float) -> None:
+    async def pause(self, router: Router, seconds: float) -> None:
+        """Suspend a router for some seconds."""
         self.log.add("pause", router.name, seconds, f"{seconds:.2f} s")
         await router.pause(seconds)
 
     async def kill_router(self) -> None:
-        self._kill(self._random_router())
+        self.kill(self.random_router())
 
     async def kill_in_series(self) -> None:
-        router = self._random_router()
+        router = self.random_router()
         for _ in range(self.rng.randint(2, 4)):
-            self._kill(router)
+            self.kill(router)
             await asyncio.sleep(self.rng.uniform(0.3, 2.5))
 
     async def kill_all_routers(self) -> None:
         for router in self.environment.routers:
-            self._kill(router)
+            self.kill(router)
 
     async def pause_router(self) -> None:
-        await self._pause(self._random_router(), self.rng.uniform(*PAUSE_S))
+        await self.pause(self.random_router(), self.rng.uniform(*PAUSE_S))
 
     async def pause_in_series(self) -> None:
-        router = self._random_router()
+        router = self.random_router()
         for _ in range(self.rng.randint(2, 4)):
-            await self._pause(router, self.rng.uniform(*PAUSE_S))
+            await self.pause(router, self.rng.uniform(*PAUSE_S))
             await asyncio.sleep(self.rng.uniform(0.05, 1.0))
 
     async def pause_all_routers(self) -> None:
@@ -79,12 +82,17 @@
 
         async def pause(router: Router) -> None:
             await asyncio.sleep(self.rng.uniform(0.0, MAX_OFFSET_S))
-            await self._pause(router, seconds * self.rng.uniform(0.8, 1.0))
+            await self.pause(router, seconds * self.rng.uniform(0.8, 1.0))
 
         await asyncio.gather(*(pause(router) for router in self.environment.routers))
 
     async def stop_router(self) -> None:
-        router = self._random_router()
+        await self.stop(self.random_router())
+
+    async def stop(self, router: Router) -> None:
+        """Stop a router as planned, unless a stop of it is in progress."""
+        if router.stopping:
+            return
         # A planned stop must not abort requests. It is recorded under another name than
         # the router's, so that aborted requests still count as violations.
         self.log.add("stop", f"stop of {router.name}", MAX_STOP_S + MAX_START_S)
@@ -92,14 +100,14 @@
 
     async def stop_and_kill(self) -> None:
         """Stop a router, and kill another one meanwhile or the same one."""
-        router = self._random_router()
+        router = self.random_router()
         stop = asyncio.create_task(self.stop_router())
         await asyncio.sleep(self.rng.uniform(0.0, 2.0))
-        self._kill(router)
+        self.kill(router)
         await stop
 
     async def reload_router(self) -> None:
-        router = self._random_router()
+        router = self.random_router()
         for _ in range(self.rng.randint(1, 4)):
             router.send_signal(signal.SIGHUP)
             await asyncio.sleep(0.05)
--- a/tests/soak/routers.py
+++ b/tests/soak/routers.py
@@ -10,8 +10,9 @@
 from pathlib import Path
 from typing import Any
 
+from .planned_stops import GRACE_S, PlannedStop
+
 RESTART_DELAY_S = 0.3
-GRACE_S = 8.0
 FIRST_PORT = 7340
 # Exit codes of a process that gets SIGTERM or SIGHUP before its own code runs, when
 # these have their default actions.
@@ -47,6 +48,8 @@
         Whether the running process has been ready.
     starts : list of float
         Times of the starts of the process.
+    stops : list of PlannedStop
+        The planned stops so far.
     exit_codes : list of int
         Exit codes of the processes that have ended, except by a signal at their start.
     """
@@ -62,7 +65,9 @@
     ) -> None:
         self.name = f"vm{number}"
         self.data_centre = data_centre
-        self.ip = f"127.77.{os.getpid() % 200}.{number + 1}"
+        self.ip = (
+            f"127.{64 + os.getpid() // 200 % 128}.{os.getpid() % 200}.{number + 1}"
+        )
         self.store = store
         self.folder = folder
         self.bounds = bounds
@@ -71,6 +76,7 @@
         self.stopping = False
         self.paused = False
         self.exit_codes: list[int] = []
+        self.stops: list[PlannedStop] = []
         self.was_ready = False
         self.starts: list[float] = []
         self.closed = False
@@ -107,16 +113,20 @@
     async def stop(self) -> None:
         """Send SIGTERM, and SIGKILL if the process is still running after GRACE_S."""
         process = self.process
-        if process is None or self.stopping:
+        if process is None or process.returncode is not None or self.stopping:
             return
         self.stopping = True
+        stop = PlannedStop(router=self.name, signalled_at=time.monotonic())
+        self.stops.append(stop)
         self.send_signal(signal.SIGTERM)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(GRACE_S):
                 await process.wait()
-        if process is self.process:
+        if process.returncode is None and process is self.process:
+            stop.killed = True
             self.send_signal(signal.SIGKILL)
         await process.wait()
+        stop.ended_at = time.monotonic()
         self.stopping = False
 
     async def close(self) -> None:
--- a/tests/soak/runs.py
+++ b/tests/soak/runs.py
@@ -15,6 +15,8 @@
         When the upstream ended it, whether or not anybody got its answer.
     continued : bool
         Whether it goes on from the backup of an earlier run.
+    broke_off : bool
+        Whether the upstream reset the connection or crashed meanwhile.
     cuts : list of Cut
         Periods in which the upstream could not be reached.
     """
@@ -28,6 +30,7 @@
     resumed: bool
     ended_at: float = float("inf")
     continued: bool = False
+    broke_off: bool = False
     cuts: list[Cut] = field(default_factory=list)
 
     def cut_off_during(self, begin: float, end: float) -> bool:
@@ -35,6 +38,14 @@
         return any(cut.begin <= end and begin <= cut.end for cut in self.cuts)
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Passage:
+    """The arrival of a request at an upstream, whether or not it ran there."""
+
+    at: float
+    address: str
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class LateRequest:
     """A request that reached a draining upstream after all had to know of its stop."""
@@ -52,12 +63,15 @@
     ----------
     arrivals : list of (float, str, str)
         Time, service and id of each request that reached an upstream.
+    passages : dict of str to list of Passage
+        The same by request, with the address of the upstream.
     requests_with_key : list of str
         Requests that were forwarded with the caller's key.
     """
 
     runs: dict[str, list[Run]] = field(default_factory=dict)
     arrivals: list[tuple[float, str, str]] = field(default_factory=list)
+    passages: dict[str, list[Passage]] = field(default_factory=dict)
     requests_with_key: list[str] = field(default_factory=list)
     late_requests: list[LateRequest] = field(default_factory=list)
     # Ids of the runs whose backup is at the engine with this address.
--- a/tests/soak/upstream_faults.py
+++ b/tests/soak/upstream_faults.py
@@ -6,9 +6,10 @@
 from collections.abc import Awaitable, Callable
 
 from .answering import Answering
+from .disturbances import path_to
 from .fault_log import FaultLog
 from .proxy import Mode, Proxy
-from .upstreams import SoakUpstream
+from .upstreams import ABSENT_S, DRAIN_S, SoakUpstream
 from .world import Environment
 
 # Share of the resets of connections beside which connects are lost.
@@ -78,7 +79,7 @@
     def _log(self, name: str, upstream: SoakUpstream, seconds: float) -> None:
         self.log.add(name, "upstreams", seconds + 1.0, upstream.instance)
         now = time.monotonic()
-        component = f"path to {upstream.proxy.address}"
+        component = path_to(upstream.proxy.address)
         self.log.disturbances.add(component, now, now + seconds)
 
     async def crash(self) -> None:
@@ -92,6 +93,9 @@
         if not upstream.alive or upstream.state != "ready":
             return
         self.log.add("replaced", "upstreams", 6.0, upstream.instance)
+        ends_at = time.monotonic() + DRAIN_S
+        component = path_to(upstream.proxy.address)
+        self.log.disturbances.add(component, ends_at, ends_at + ABSENT_S)
         await upstream.replace(undisturbed=self.undisturbed())
 
     async def disturb_path(self) -> None:
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -11,17 +11,20 @@
 from platform_standins import Exchange, StoreStandIn, UpstreamStandIn, response_bytes
 
 from .answering import FAILURE_BODY, Answering
+from .kinds import KINDS_BY_TARGET
 from .proxy import Proxy
-from .runs import LateRequest, Run, UpstreamRecord
+from .runs import LateRequest, Passage, Run, UpstreamRecord
 
 HEARTBEAT_S = 0.6
 WEIGHTS_LOAD_S = 0.4
-# Events of a stream, and the time between two of them, by the first part of its path.
-STREAMS = {"a": (12, 0.02), "short": (30, 0.03)}
 BACKUP_INTERVAL_S = 0.1
 # Statuses with which an upstream states that a request did not run.
 REFUSALS = (421, 503)
 DRAIN_SLACK_S = 0.2
+# Time from the draining state to the end of an upstream that is replaced, and until the
+# next one starts.
+DRAIN_S = 4.0
+ABSENT_S = 0.5
 # Share of the plain requests that take longer, so that faults meet them while they run.
 LONG_SHARE = 0.1
 # Share of the starts after which an upstream does not notice closed connections.
@@ -79,6 +82,7 @@
         self.answering = Answering()
         self.unaware = False
         self.run_tasks: set[asyncio.Task[None]] = set()
+        self.runs_in_progress: list[Run] = []
         # Answers that may arrive once more before the next one on their connection.
         self.copies: WeakKeyDictionary[asyncio.StreamWriter, bytes] = (
             WeakKeyDictionary()
@@ -115,6 +119,8 @@
         if self.server is not None:
             self.server.close()
         self.proxy.reset()
+        for run in self.runs_in_progress:
+            run.broke_off = True
         for task in self.run_tasks:
             task.cancel()
         self.record.backups.pop(self.proxy.address, None)
@@ -135,11 +141,11 @@
         self.register()
         if undisturbed:
             self.drain_written_at = time.monotonic()
-        await asyncio.sleep(4.0)
+        await asyncio.sleep(DRAIN_S)
         self.crash()
         self.store.remove("servers", name)
         self.instance = ""
-        await asyncio.sleep(0.5)
+        await asyncio.sleep(ABSENT_S)
         await self.start()
 
     def register(self) -> None:
@@ -225,6 +231,8 @@
     async def _handle_request(self, exchange: Exchange) -> None:
         headers, now = exchange.headers, time.monotonic()
         self.record.arrivals.append((now, self.service, exchange.id))
+        passage = Passage(at=now, address=self.proxy.address)
+        self.record.passages.setdefault(exchange.id, []).append(passage)
         if "x-credential" in headers:
             self.record.requests_with_key.append(exchange.id)
         if headers.get("x-expect-instance") != self.instance:
@@ -273,16 +281,19 @@
         run = self._record_run(exchange)
         limit_s = int(exchange.headers["x-deadline-ms"]) / 1000
         self.running += 1
+        self.runs_in_progress.append(run)
         try:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(limit_s):
-                    await self._answer(exchange)
+                    await self._answer(exchange, run)
         finally:
             self.running -= 1
+            self.runs_in_progress.remove(run)
             run.ended_at = time.monotonic()
 
-    async def _answer(self, exchange: Exchange) -> None:
+    async def _answer(self, exchange: Exchange, run: Run) -> None:
         if self._draw(self.answering.broken_share):
+            run.broke_off = True
             exchange.reset()
             return
         if self.engine:
@@ -313,7 +324,7 @@
         return run
 
     async def _stream(self, exchange: Exchange) -> None:
-        count, interval_s = STREAMS[exchange.target.split("/")[1]]
+        kind = KINDS_BY_TARGET[exchange.target]
         first = int(exchange.headers.get("last-event-id", "0")) + 1
         await asyncio.sleep(self.rng.uniform(0.02, 0.1))
         if self._draw(self.answering.failed_share):
@@ -322,10 +333,9 @@
             return
         await _send(exchange.start_stream())
         backed_up_at = time.monotonic()
-        for number in range(first, count + 1):
-            data = f"id: {number}\ndata: {exchange.id}-{number}\n\n"
-            await _send(exchange.send_chunk(data.encode()))
-            await asyncio.sleep(interval_s)
+        for number in range(first, kind.events + 1):
+            await _send(exchange.send_chunk(kind.event(exchange.id, number)))
+            await asyncio.sleep(kind.interval_s)
             if time.monotonic() >= backed_up_at + BACKUP_INTERVAL_S:
                 self._back_up(exchange)
         await _send(exchange.end_stream())
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -12,7 +12,9 @@
 from platform_standins import StoreStandIn, running_store
 
 from .callers import Callers
-from .promises import Disturbances, KeyPeriod, RequestQuota
+from .disturbances import Disturbances, store_path_of
+from .kinds import stream_routes
+from .promises import KeyPeriod, RequestQuota
 from .proxy import Proxy
 from .routers import BOUNDS, Router
 from .runs import UpstreamRecord
@@ -27,20 +29,6 @@
     {"retryBudgetRatio": 0.1, "retrySlack": 52},
     {"retryBudgetRatio": 0.02, "retrySlack": 40},
 )
-SHORT_ROUTE = {
-    "name": "r-short",
-    "host": "h.example",
-    "prefix": "/short/",
-    "kind": "streaming",
-    "timeoutMs": 10000,
-    "targetLatencyMs": 1200,
-    "priority": 1,
-    "service": "engines",
-    "maxAttempts": 2,
-    "public": False,
-    "sticky": True,
-    "gapAimMs": 800,
-}
 # The key that configuration changes revoke and grant again.
 CHANGING_KEY = "k3"
 ORGANISATIONS = {"k1": "org1", "k2": "org2", "k3": "org3"}
@@ -102,6 +90,11 @@
         """Return the names of the routers."""
         return [router.name for router in self.routers]
 
+    def routers_and_paths(self) -> list[str]:
+        """Return the routers and their paths to the store as components."""
+        names = self.router_names()
+        return names + [store_path_of(name) for name in names]
+
     async def start(self) -> None:
         """Start all components and wait until all routers are ready."""
         for upstream in self.upstreams:
@@ -173,7 +166,7 @@
         document = configuration_document(
             version=self.configuration_version, tenants=tenants
         )
-        document["routes"].append(SHORT_ROUTE)
+        document["routes"] += stream_routes()
         return document
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,11 +6,13 @@
 import pytest
 
 from soak.__main__ import soak
-from soak.callers import Outcome
-from soak.promises import Disturbances, GuaranteeChecker, KeyPeriod, RequestQuota
+from soak.disturbances import Disturbances
+from soak.outcomes import Outcome
+from soak.planned_stops import PlannedStop
+from soak.promises import GuaranteeChecker, KeyPeriod, RequestQuota
 from soak.proxy import Cut
 from soak.retry_rule import RetryRule
-from soak.runs import Run, UpstreamRecord
+from soak.runs import Passage, Run, UpstreamRecord
 
 # Add each seed that violated a guarantee, with a comment on the cause. Seed 1: an
 # upstream's own failure is passed on with a status that promises "not run".
@@ -25,6 +27,8 @@
         "key": "k1",
         "router": "vm0",
         "sent_at": 50.0,
+        "last_byte_at": 50.0,
+        "deadline_s": 1.0,
         "ended_at": 50.2,
         "status": 200,
         "complete": True,
@@ -93,11 +97,6 @@
             "incomplete stream looks complete",
         ),
         ({"kind": "review", "body": STREAM[20:]}, [{}], "order of events"),
-        (
-            {"status": 0, "complete": False, "stopping": True},
-            [{}],
-            "cut by a planned stop",
-        ),
     ],
 )
 def test_a_violated_guarantee_is_reported(outcome, runs, expected):
@@ -207,3 +206,142 @@
 def test_a_failure_that_is_passed_on_is_no_refusal():
     outcome = make_outcome(kind="look", status=429, body=b"failed")
     assert check(outcome, runs=[make_run()]) == []
+
+
+# The signal of the planned stop in the cases below.
+SIGNAL_AT = 100.0
+ENGINE = "127.0.0.1:9"
+
+
+def cut_stream(*, sent=-1.0, ended=2.0, **changes):
+    """Return the outcome of a stream that began and did not end, as seen by its caller.
+
+    Times are in seconds after the signal.
+    """
+    values = {
+        "kind": "steady",
+        "complete": False,
+        "sent_at": SIGNAL_AT + sent,
+        "last_byte_at": SIGNAL_AT + sent,
+        "ended_at": SIGNAL_AT + ended,
+        "deadline_s": 8.0,
+        "body": b"",
+    }
+    return make_outcome(**{**values, **changes})
+
+
+def check_stop(outcome, *, run=(0.0, 2.0), disturbed=(), broke_off=False, passed=True):
+    """Return what the check of planned stops says of one request.
+
+    ``run`` has the begin and the end of its run in seconds after the signal, and
+    ``disturbed`` a component with the begin and the end of its disturbance.
+    """
+    begin, end = (SIGNAL_AT + seconds for seconds in run)
+    record = UpstreamRecord()
+    if passed:
+        passage = Passage(at=begin, address=ENGINE)
+        record.passages[outcome.request] = [passage]
+    ran = make_run(at=begin, ended_at=end, broke_off=broke_off)
+    disturbances = Disturbances()
+    if disturbed:
+        component, first, last = disturbed
+        disturbances.add(component, SIGNAL_AT + first, SIGNAL_AT + last)
+    stop = PlannedStop(router="vm0", signalled_at=SIGNAL_AT)
+    violations = check(
+        outcome,
+        runs=[ran] if passed else [],
+        record=record,
+        disturbances=disturbances,
+        stops=[stop],
+    )
+    return [line for line in violations if line.startswith("cut by a planned stop")]
+
+
+# Guards against a soak that passes although a planned stop cuts a request off: before
+# its status, after it, before it is passed on, at the limits of each excuse, and beside
+# disturbances that are none of that request.
+@pytest.mark.parametrize(
+    ("outcome", "circumstances"),
+    [
+        ({}, {}),
+        ({"status": 0}, {}),
+        ({"body": b"id: 1"}, {}),
+        ({"sent": 1.0, "ended": 1.1}, {}),
+        ({"sent": 1.0, "ended": 1.21, "status": 0}, {"passed": False}),
+        ({"ended": 8.9, "deadline_s": 20.0}, {}),
+        ({"sent": 3.01, "ended": 7.2}, {"run": (3.1, 7.2)}),
+        ({"sent": 2.9, "last_byte_at": 103.01, "ended": 7.2}, {"run": (3.1, 7.2)}),
+        ({"sent": 1.0, "ended": 7.2}, {"run": (1.0, 6.6)}),
+        ({"sent": 1.0, "ended": 5.0}, {"run": (1.0, 7.6)}),
+        ({"sent": 1.0, "ended": 8.9, "deadline_s": 20.0}, {"run": (8.1, 8.8)}),
+        ({}, {"disturbed": ("store", -1.0, 2.0)}),
+        ({}, {"disturbed": ("store path of vm0", -1.0, 2.0)}),
+        ({}, {"disturbed": ("upstreams", -1.0, 2.0)}),
+        ({}, {"disturbed": ("vm1", -1.0, 2.0)}),
+        ({}, {"disturbed": ("path to 127.0.0.1:8", -1.0, 2.0)}),
+        ({}, {"disturbed": ("vm0", -6.0, -4.1)}),
+        ({}, {"disturbed": ("vm0", 2.1, 3.0)}),
+        ({"ended": 6.9, "sent": 0.0, "deadline_s": 7.0}, {"run": (0.1, 6.6)}),
+    ],
+)
+def test_a_request_that_a_planned_stop_cuts_off_is_reported(outcome, circumstances):
+    assert check_stop(cut_stream(**outcome), **circumstances)
+    whole = cut_stream(**{**outcome, "status": 502, "complete": True})
+    assert check_stop(whole, **circumstances) == []
+
+
+# Guards against reporting requests for which the planned stop is not the cause.
+@pytest.mark.parametrize(
+    ("outcome", "circumstances"),
+    [
+        ({"connected": False}, {"passed": False}),
+        ({"ended": -0.1}, {}),
+        ({"ended": 9.1, "deadline_s": 20.0}, {}),
+        ({"router": "vm1"}, {}),
+        ({"sent": 1.0, "ended": 1.19}, {"passed": False}),
+        ({"last_byte_at": float("inf")}, {"passed": False}),
+        ({"half_closed": True}, {}),
+        ({}, {"disturbed": ("vm0", -6.0, -3.9)}),
+        ({}, {"disturbed": ("vm0", 1.9, 3.0)}),
+        ({}, {"disturbed": (f"path to {ENGINE}", -1.0, 2.0)}),
+        ({}, {"broke_off": True}),
+        ({"ended": 7.0, "sent": 0.0, "deadline_s": 7.0}, {"run": (0.1, 6.6)}),
+        ({"kind": "order", "sent": 0.0, "ended": 1.0}, {}),
+        ({"sent": 2.99, "ended": 7.2}, {"run": (3.1, 7.2)}),
+        ({"sent": 1.0, "ended": 6.68}, {"run": (1.0, 6.68)}),
+    ],
+)
+def test_a_request_that_is_excused_is_not_reported(outcome, circumstances):
+    assert check_stop(cut_stream(**outcome), **circumstances) == []
+
+
+# Guards against reporting a request that the router did not read, since the answer to
+# the one before it announced the end of the connection or is missing; one that was
+# passed on, or that follows an answer without this announcement, is reported.
+@pytest.mark.parametrize(
+    ("previous", "passed", "reported"),
+    [
+        ({"complete": True}, False, True),
+        ({"complete": True, "announced_close": True}, False, False),
+        ({"complete": True, "announced_close": True}, True, True),
+        ({"complete": False}, False, False),
+    ],
+)
+def test_a_request_behind_another_is_judged_by_what_was_read(
+    previous, passed, reported
+):
+    first = cut_stream(ended=1.0, **previous)
+    second = cut_stream(previous=first)
+    assert bool(check_stop(second, passed=passed)) == reported
+
+
+# Guards against judging a request by an earlier stop of its router.
+def test_the_newest_stop_of_a_router_counts():
+    stops = [PlannedStop(router="vm0", signalled_at=at) for at in (94.0, SIGNAL_AT)]
+    record = UpstreamRecord()
+    outcome = cut_stream(sent=-1.0, ended=7.2)
+    record.passages["q1"] = [Passage(at=99.0, address=ENGINE)]
+    violations = check(
+        outcome, runs=[make_run(at=99.0, ended_at=107.2)], record=record, stops=stops
+    )
+    assert violations == []
