Add callers of long streams, bodies, slow readers and pipelining to the soak

The streams of the soak lasted 0.24 and 0.9 s beside a grace period of 8 s, bodies were empty, every caller read at once and none sent a request behind another, so a planned stop had nothing to cut off.

StreamCallers adds streams of 1.8, 4.8 and 6.6 s, on routes of one length and on one of mixed lengths, streams of 4 MB, bodies with a length and in chunks, with and without pauses, readers with a small receive buffer that read nothing for up to 2 s, callers that shut down their sending side, and requests behind another on one connection. It uses plain sockets, since asyncio's reader drops what it has buffered when a reset arrives.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -22,6 +22,7 @@
 from .world import ISOLATED, ORGANISATIONS, QUOTAS, running_environment
 
 CALLERS = 32
+STREAM_CALLERS = 16
 # Time without faults before the first fault and after the last one.
 FAULT_FREE_S = 6.0
 MEAN_FAULT_INTERVAL_S = 1.5
@@ -64,6 +65,7 @@
     routers: int,
     folder: Path,
     scenario: Scenario | None = None,
+    stream_callers: int = STREAM_CALLERS,
 ) -> SoakResult:
     """Run the soak with one seed; write the logs of the routers to the folder.
 
@@ -79,6 +81,10 @@
             asyncio.create_task(environment.callers.run(end + FAULT_FREE_S))
             for _ in range(CALLERS)
         ]
+        callers += [
+            asyncio.create_task(environment.stream_callers.run(end))
+            for _ in range(stream_callers)
+        ]
         await asyncio.sleep(FAULT_FREE_S)
         if scenario is None:
             await faults.run(end, mean_interval_s=MEAN_FAULT_INTERVAL_S)
@@ -149,6 +155,7 @@
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--routers", type=int, default=4)
+    parser.add_argument("--stream-callers", type=int, default=STREAM_CALLERS)
     parser.add_argument("--scenario", choices=sorted(SCENARIOS), default=None)
     options = parser.parse_args()
     # Tornado logs each request that the store stand-in refuses as a fault.
@@ -166,6 +173,7 @@
                 routers=options.routers,
                 folder=folder,
                 scenario=SCENARIOS.get(options.scenario),
+                stream_callers=options.stream_callers,
             )
         )
         failed = failed or not result.passed
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -18,6 +18,7 @@
 from .proxy import Proxy
 from .routers import BOUNDS, Router
 from .runs import UpstreamRecord
+from .stream_callers import StreamCallers
 from .upstreams import SoakUpstream
 
 ENGINES = 3
@@ -80,6 +81,7 @@
             for number in range(ENGINES + DESKS)
         ]
         self.callers = Callers(routers=self.routers, rng=rng, keys=("k1", "k2", "k3"))
+        self.stream_callers = StreamCallers(callers=self.callers)
         self.tasks: list[asyncio.Task[None]] = []
 
     def elapsed_s(self) -> float:
