Add courses of planned stops to the soak

Stops came alone and at random beside all other faults, so most requests of a stop were disturbed by something else.

--- a/tests/soak/scenarios.py
+++ b/tests/soak/scenarios.py
@@ -10,6 +10,7 @@
 from .answering import Answering
 from .faults import Faults
 from .proxy import Mode
+from .stop_courses import COURSES, run_courses
 from .upstreams import SoakUpstream
 
 Scenario = Callable[[Faults, float], Awaitable[None]]
@@ -104,6 +105,15 @@
         await asyncio.sleep(ROUND_S / 4)
 
 
+def _stops(*names: str) -> Scenario:
+    """Return the scenario of planned stops in some of their courses."""
+
+    async def run(faults: Faults, until: float) -> None:
+        await run_courses(faults.routers, list(names), until)
+
+    return run
+
+
 SCENARIOS: dict[str, Scenario] = {
     "stop-listening": _stop_listening,
     "lose-connects": _lose_connects,
@@ -113,4 +123,6 @@
     "retry-and-restart": _retry_and_restart,
     "retry-and-pause": _retry_and_pause,
     "hold": _hold,
+    "planned-stops": _stops(*COURSES),
+    **{name: _stops(name) for name in COURSES},
 }
