Stop the lease holder beside faults of the store in the soak

The store excuses no cut request, but no course disturbed it around a stop. The new course disturbs the path of the stopping router, or the paths of all, to the store and stops the VM that holds the order lease and gives it back.

--- a/tests/soak/stop_courses.py
+++ b/tests/soak/stop_courses.py
@@ -6,7 +6,9 @@
 import time
 from collections.abc import Awaitable, Callable
 
-from .router_faults import RouterFaults
+from .disturbances import store_path_of
+from .proxy import Mode
+from .router_faults import MAX_STOP_S, RouterFaults
 from .routers import Router
 
 # Times between the signals of a course.
@@ -14,6 +16,7 @@
 NEXT_SIGNAL_S = (0.0, 6.0)
 PAUSE_S = (0.3, 3.5)
 MEAN_COURSE_INTERVAL_S = 3.0
+STORE_MODES = (Mode.SILENT, Mode.NO_ANSWERS, Mode.NO_REQUESTS, Mode.HOLD, Mode.REFUSE)
 
 Course = Callable[[RouterFaults], Awaitable[None]]
 
@@ -70,6 +73,26 @@
     await stop
 
 
+async def beside_store_faults(faults: RouterFaults) -> None:
+    """Disturb the paths of one router or of all to the store while one stops.
+
+    The router is the holder of the order lease, which it gives back, if there is one.
+    """
+    routers = _shuffled(faults)
+    routers.sort(key=lambda router: router.name != faults.environment.lease_holder())
+    router, *others = routers
+    mode = faults.rng.choice(STORE_MODES)
+    paths = faults.environment.store_proxies
+    disturbed = [router, *others] if faults.rng.random() < 0.5 else [router]
+    for each in disturbed:
+        faults.log.add(mode.value, store_path_of(each.name), MAX_STOP_S)
+        paths[each.name].set_mode(mode)
+    await asyncio.sleep(faults.rng.uniform(0.0, 2.0))
+    await faults.stop(router)
+    for each in disturbed:
+        paths[each.name].set_mode(Mode.PASS)
+
+
 async def twice(faults: RouterFaults) -> None:
     """Send SIGTERM again while the stop is in progress."""
     router = faults.random_router()
@@ -87,6 +110,7 @@
     "stop-beside-kills": beside_kills,
     "stop-beside-pauses": beside_pauses,
     "stop-beside-reloads": beside_reloads,
+    "stop-beside-store-faults": beside_store_faults,
     "stop-twice": twice,
 }
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -30,6 +30,7 @@
     {"retryBudgetRatio": 0.1, "retrySlack": 52},
     {"retryBudgetRatio": 0.02, "retrySlack": 40},
 )
+LEASE_ROW = ("endivelug", "lease/all/orders")
 # The key that configuration changes revoke and grant again.
 CHANGING_KEY = "k3"
 ORGANISATIONS = {"k1": "org1", "k2": "org2", "k3": "org3"}
@@ -97,6 +98,13 @@
         names = self.router_names()
         return names + [store_path_of(name) for name in names]
 
+    def lease_holder(self) -> str | None:
+        """Return the router that is named last in the row of the order lease."""
+        value, _, _ = self.store.rows.get(LEASE_ROW, (b"", 0, True))
+        names = [name for name in self.router_names() if name.encode() in value]
+        # Names may begin alike.
+        return max(names, key=len, default=None)
+
     async def start(self) -> None:
         """Start all components and wait until all routers are ready."""
         for upstream in self.upstreams:
