Pause between the parts of a body only, and fault the store beside the signal

And the order lease had often lapsed before the stop beside a fault of the store, so that nothing was given back.

--- a/tests/soak/stop_courses.py
+++ b/tests/soak/stop_courses.py
@@ -16,6 +16,8 @@
 NEXT_SIGNAL_S = (0.0, 6.0)
 PAUSE_S = (0.3, 3.5)
 MEAN_COURSE_INTERVAL_S = 3.0
+# A lease that is not renewed for longer has lapsed and is not given back.
+MAX_STORE_FAULT_BEFORE_S = 0.5
 STORE_MODES = (Mode.SILENT, Mode.NO_ANSWERS, Mode.NO_REQUESTS, Mode.HOLD, Mode.REFUSE)
 
 Course = Callable[[RouterFaults], Awaitable[None]]
@@ -87,7 +89,7 @@
     for each in disturbed:
         faults.log.add(mode.value, store_path_of(each.name), MAX_STOP_S)
         paths[each.name].set_mode(mode)
-    await asyncio.sleep(faults.rng.uniform(0.0, 2.0))
+    await asyncio.sleep(faults.rng.uniform(0.0, MAX_STORE_FAULT_BEFORE_S))
     await faults.stop(router)
     for each in disturbed:
         paths[each.name].set_mode(Mode.PASS)
--- a/tests/soak/stream_callers.py
+++ b/tests/soak/stream_callers.py
@@ -203,12 +203,13 @@
         head = h11.Request(method=kind.method, target=kind.target, headers=headers)
         await connection.send(parser.send(head))
         size = max(1, -(-len(body) // BODY_PARTS))
-        for start in range(0, len(body), size):
-            await connection.send(
-                parser.send(h11.Data(data=body[start : start + size]))
-            )
-            if form.endswith("pauses"):
+        parts = [body[start : start + size] for start in range(0, len(body), size)]
+        for number, part in enumerate(parts):
+            if number and form.endswith("pauses"):
                 await asyncio.sleep(self.rng.uniform(0.0, MAX_BODY_PAUSE_S))
+            await connection.send(parser.send(h11.Data(data=part)))
+        if chunked and form.endswith("pauses"):
+            await asyncio.sleep(self.rng.uniform(0.0, MAX_BODY_PAUSE_S))
         await connection.send(parser.send(h11.EndOfMessage()))
         outcome.last_byte_at = time.monotonic()
 
