Show that a planned stop closes a request whose body is still coming

A request that was begun in the notice and whose body takes longer gets no answer: the stop ends once no request is in progress, and one that is being read does not count as such.

--- a/tests/test_connections_in_stops.py
+++ b/tests/test_connections_in_stops.py
@@ -17,6 +17,10 @@
 EVENTS = 10
 BODY_PARTS = 1000
 PART_INTERVAL_S = 0.1
+# Time from the signal in which new connections are accepted, and time in which the body
+# of a request comes that is sent in the middle of it.
+NOTICE_S = 2.3
+BODY_S = 1.6
 # Time after the signal at which the caller begins to read; the stop still lasts.
 READ_AFTER_S = 3.5
 ANSWER_TIMEOUT_S = 20.0
@@ -55,9 +59,9 @@
     async def send(self, data):
         await asyncio.get_running_loop().sock_sendall(self.raw, data)
 
-    async def send_body_slowly(self):
+    async def send_body_slowly(self, parts=BODY_PARTS):
         with contextlib.suppress(ConnectionError):
-            for _ in range(BODY_PARTS):
+            for _ in range(parts):
                 await self.send(b"b")
                 await asyncio.sleep(PART_INTERVAL_S)
 
@@ -153,3 +157,23 @@
             ] == []
 
     asyncio.run(scenario())
+
+
+# Guards against closing a connection without an answer while the body of a request is
+# read that was begun in the notice, although much of the grace period is left.
+def test_a_request_whose_body_comes_during_the_stop_is_answered(tmp_path):
+    async def scenario():
+        async with running_process(tmp_path) as running:
+            running.process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(NOTICE_S - BODY_S / 2)
+            caller = Caller()
+            await caller.connect(running.front)
+            count = int(BODY_S / PART_INTERVAL_S)
+            head = request_bytes("first", "/a/orders/x", body_bytes=count)
+            await caller.send(head)
+            await caller.send_body_slowly(count)
+            await caller.read_answer()
+            caller.raw.close()
+            assert caller.complete
+
+    asyncio.run(scenario())
