--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -11,15 +11,18 @@
 from collections import Counter
 from dataclasses import asdict, dataclass
 from pathlib import Path
+from typing import Any
 
 from .courses import courses_of
 from .faults import Faults
+from .outcomes import Outcome
 from .promises import GuaranteeChecker
 from .retry_rule import SERVICES, RetryRule
 from .scenarios import SCENARIOS, Scenario
 from .world import ISOLATED, ORGANISATIONS, QUOTAS, running_environment
 
 CALLERS = 32
+STREAM_CALLERS = 16
 # Time without faults before the first fault and after the last one.
 FAULT_FREE_S = 6.0
 MEAN_FAULT_INTERVAL_S = 1.5
@@ -27,13 +30,25 @@
 
 @dataclass(slots=True, kw_only=True)
 class SoakResult:
-    """Result of the soak with one seed."""
+    """Result of the soak with one seed.
+
+    Attributes
+    ----------
+    statuses : dict of str to int
+        Number of requests by kind, status and whether the answer was whole.
+    excused : list of str
+        Requests that a planned stop left without a whole answer, with the reason why
+        they are not counted as cut off.
+    """
 
     seed: int
     requests: int
     served: int
     faults: list[tuple[float, str]]
     violations: list[str]
+    statuses: dict[str, int]
+    stops: list[dict[str, Any]]
+    excused: list[str]
     courses: dict[str, list[str]]
     budget_shares: dict[str, float]
     unexpected_exits: list[str]
@@ -50,6 +65,7 @@
     routers: int,
     folder: Path,
     scenario: Scenario | None = None,
+    stream_callers: int = STREAM_CALLERS,
 ) -> SoakResult:
     """Run the soak with one seed; write the logs of the routers to the folder.
 
@@ -65,6 +81,10 @@
             asyncio.create_task(environment.callers.run(end + FAULT_FREE_S))
             for _ in range(CALLERS)
         ]
+        callers += [
+            asyncio.create_task(environment.stream_callers.run(end))
+            for _ in range(stream_callers)
+        ]
         await asyncio.sleep(FAULT_FREE_S)
         if scenario is None:
             await faults.run(end, mean_interval_s=MEAN_FAULT_INTERVAL_S)
@@ -88,15 +108,24 @@
             routers=environment.router_names(),
             retry_rule=rule,
             quotas=QUOTAS,
+            stops=[stop for router in environment.routers for stop in router.stops],
         )
         violations = checker.violations()
+        excused = [
+            f"{excuse.value}: {request}"
+            for request, excuse in checker.stopped_requests()
+            if excuse is not None
+        ]
         return SoakResult(
             seed=seed,
             requests=len(environment.callers.outcomes),
             served=sum(1 for item in environment.callers.outcomes if item.served),
             faults=faults.log.lines,
             violations=violations,
-            courses=courses_of(violations, environment, folder),
+            statuses=dict(sorted(_statuses(environment.callers.outcomes).items())),
+            stops=[asdict(stop) for stop in checker.stops],
+            excused=excused,
+            courses=courses_of(violations + excused, environment, folder),
             budget_shares={
                 service: rule.worst_share(
                     service, environment.record.arrivals, environment.callers.outcomes
@@ -112,6 +141,13 @@
         )
 
 
+def _statuses(outcomes: list[Outcome]) -> Counter[str]:
+    return Counter(
+        f"{item.kind} {item.status}{'' if item.complete else ' incomplete'}"
+        for item in outcomes
+    )
+
+
 def main() -> None:
     """Run the soak with one or more seeds; exit 1 if a guarantee was violated."""
     parser = argparse.ArgumentParser(prog="soak")
@@ -119,6 +155,7 @@
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--routers", type=int, default=4)
+    parser.add_argument("--stream-callers", type=int, default=STREAM_CALLERS)
     parser.add_argument("--scenario", choices=sorted(SCENARIOS), default=None)
     options = parser.parse_args()
     # Tornado logs each request that the store stand-in refuses as a fault.
@@ -136,6 +173,7 @@
                 routers=options.routers,
                 folder=folder,
                 scenario=SCENARIOS.get(options.scenario),
+                stream_callers=options.stream_callers,
             )
         )
         failed = failed or not result.passed
@@ -152,6 +190,11 @@
                         line.partition(":")[0].split(" 0.")[0]
                         for line in result.violations
                     ),
+                    "stops": len(result.stops),
+                    "killed": sum(stop["killed"] for stop in result.stops),
+                    "excused": Counter(
+                        line.partition(":")[0] for line in result.excused
+                    ),
                     "violations": result.violations[:10],
                     "budget_shares": result.budget_shares,
                     "unexpected_exits": result.unexpected_exits,
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -12,10 +12,13 @@
 from platform_standins import StoreStandIn, running_store
 
 from .callers import Callers
-from .promises import Disturbances, KeyPeriod, RequestQuota
+from .disturbances import Disturbances, store_path_of
+from .kinds import stream_routes
+from .promises import KeyPeriod, RequestQuota
 from .proxy import Proxy
 from .routers import BOUNDS, Router
 from .runs import UpstreamRecord
+from .stream_callers import StreamCallers
 from .upstreams import SoakUpstream
 
 ENGINES = 3
@@ -27,20 +30,7 @@
     {"retryBudgetRatio": 0.1, "retrySlack": 52},
     {"retryBudgetRatio": 0.02, "retrySlack": 40},
 )
-SHORT_ROUTE = {
-    "name": "r-short",
-    "host": "h.example",
-    "prefix": "/short/",
-    "kind": "streaming",
-    "timeoutMs": 10000,
-    "targetLatencyMs": 1200,
-    "priority": 1,
-    "service": "engines",
-    "maxAttempts": 2,
-    "public": False,
-    "sticky": True,
-    "gapAimMs": 800,
-}
+LEASE_ROW = ("endivelug", "lease/all/orders")
 # The key that configuration changes revoke and grant again.
 CHANGING_KEY = "k3"
 ORGANISATIONS = {"k1": "org1", "k2": "org2", "k3": "org3"}
@@ -92,6 +82,7 @@
             for number in range(ENGINES + DESKS)
         ]
         self.callers = Callers(routers=self.routers, rng=rng, keys=("k1", "k2", "k3"))
+        self.stream_callers = StreamCallers(callers=self.callers)
         self.tasks: list[asyncio.Task[None]] = []
 
     def elapsed_s(self) -> float:
@@ -102,6 +93,18 @@
         """Return the names of the routers."""
         return [router.name for router in self.routers]
 
+    def routers_and_paths(self) -> list[str]:
+        """Return the routers and their paths to the store as components."""
+        names = self.router_names()
+        return names + [store_path_of(name) for name in names]
+
+    def lease_holder(self) -> str | None:
+        """Return the router that is named last in the row of the order lease."""
+        value, _, _ = self.store.rows.get(LEASE_ROW, (b"", 0, True))
+        names = [name for name in self.router_names() if name.encode() in value]
+        # Names may begin alike.
+        return max(names, key=len, default=None)
+
     async def start(self) -> None:
         """Start all components and wait until all routers are ready."""
         for upstream in self.upstreams:
@@ -173,7 +176,7 @@
         document = configuration_document(
             version=self.configuration_version, tenants=tenants
         )
-        document["routes"].append(SHORT_ROUTE)
+        document["routes"] += stream_routes()
         return document
 
 
