--- a/tests/test_decision_log.py
+++ b/tests/test_decision_log.py
@@ -1,5 +1,7 @@
+import asyncio
 import json
 import os
+import threading
 import time
 
 import eliot
@@ -77,3 +79,88 @@
         assert log.dropped_total > 0
     finally:
         eliot.remove_destination(log._write)
+
+
+# Guards against lines of requests that leave no room for the changes of state of a VM.
+def test_a_flood_of_request_lines_does_not_hide_a_change_of_state():
+    log, reading = make_log(ManualClock())
+    try:
+        for number in range(int(BURST_LINES) + 100):
+            log("sent", request=str(number))
+        log("stopping", in_progress=1)
+        log.flush()
+        assert "stopping" in [line["message_type"] for line in read_lines(reading)]
+    finally:
+        eliot.remove_destination(log._write)
+
+
+# Guards against a flood of lines that fills the buffer of an unread output, so that no
+# change of state finds room in it.
+def test_an_unread_output_keeps_room_for_a_change_of_state():
+    clock = ManualClock()
+    log, _ = make_log(clock)
+    try:
+        for number in range(5000):
+            clock.now += 0.01
+            log("sent", request=str(number), text="x" * 100)
+        log("stopping", in_progress=1)
+        assert b'"stopping"' in log._buffer
+    finally:
+        eliot.remove_destination(log._write)
+
+
+# Guards against a stop whose last lines are lost because the output is full, and
+# against dropped lines that no line reports because the process ends.
+def test_the_last_lines_wait_for_a_slow_reader():
+    log, reading = make_log(time.monotonic)
+    try:
+        for number in range(int(BURST_LINES) + 100):
+            log("sent", request=str(number), text="x" * 400)
+        log("exiting")
+        dropped, lines = log.dropped, []
+
+        def read():
+            time.sleep(0.1)
+            with open(reading, closefd=False) as output:
+                lines.extend(json.loads(line) for line in output)
+
+        reader = threading.Thread(target=read, daemon=True)
+        os.set_blocking(reading, True)
+        reader.start()
+        log.finish(until=time.monotonic() + 5.0)
+        os.close(log.descriptor)
+        reader.join(5.0)
+        counts = [line["count"] for line in lines if "count" in line]
+        assert dropped == 0 and counts == [100]
+        assert lines[-1]["message_type"] == "exiting"
+    finally:
+        eliot.remove_destination(log._write)
+
+
+# Guards against a process that does not end because nobody reads its output.
+def test_an_unread_output_does_not_hold_the_end_of_a_process():
+    log, _ = make_log(time.monotonic)
+    try:
+        for number in range(int(BURST_LINES)):
+            log("sent", request=str(number), text="x" * 400)
+        start = time.monotonic()
+        log.finish(until=start + 0.2)
+        assert 0.1 < time.monotonic() - start < 1.0
+    finally:
+        eliot.remove_destination(log._write)
+
+
+# Guards against lines of a stop that are lost because the process is killed.
+def test_lines_of_a_stop_are_written_at_once():
+    log, reading = make_log(ManualClock())
+
+    async def scenario():
+        log("sent", request="q1")
+        log.begin_stop()
+        log("stopping")
+        return [line["message_type"] for line in read_lines(reading)]
+
+    try:
+        assert asyncio.run(scenario()) == ["sent", "stopping"]
+    finally:
+        eliot.remove_destination(log._write)
