Accept connections that wait when the listener closes

Cause: the listening socket was closed with its queue. Change: what waits is accepted before the listener closes, as far as there is room.

A listener without room still closes.

--- a/src/endivelug/forwarding/buffers/acceptor.py
+++ b/src/endivelug/forwarding/buffers/acceptor.py
@@ -50,9 +50,12 @@
             self._resume(sock)
 
     def stop(self) -> None:
-        """Stop accepting, and refuse new connections."""
+        """Accept what has connected already, and refuse new connections."""
         loop = asyncio.get_running_loop()
         for sock in self.sockets:
+            # The kernel resets connections that wait when their listener closes.
+            while sock not in self._resumes and self._accept(sock):
+                pass
             resume = self._resumes.pop(sock, None)
             if resume is not None:
                 resume.cancel()
@@ -70,22 +73,23 @@
         self.pauses += 1
         self._resumes[sock] = loop.call_later(PAUSE_S, self._resume, sock)
 
-    def _accept(self, sock: socket.socket) -> None:
+    def _accept(self, sock: socket.socket) -> bool:
+        """Accept connections; return whether more may wait."""
         for _ in range(MAX_ACCEPTED_A_TURN):
             if not self.has_room():
                 self._pause(sock)
-                return
+                return False
             try:
                 connection, address = sock.accept()
             except (BlockingIOError, InterruptedError):
-                return
+                return False
             except ConnectionAbortedError:
                 continue
             except OSError:
                 # No descriptors or memory are left. Accepting again at once would use
                 # up the processor.
                 self._pause(sock)
-                return
+                return False
             connection.setblocking(False)
             stream = IOStream(
                 connection,
@@ -93,3 +97,4 @@
                 read_chunk_size=self.read_chunk_size,
             )
             self.on_accepted(stream, address)
+        return True
--- /dev/null
+++ b/tests/test_arrivals_in_stops.py
@@ -0,0 +1,81 @@
+"""Requests that arrive while a stopping router closes its connections."""
+
+import asyncio
+import contextlib
+import socket
+
+import h11
+from measurements._ports import free_port
+
+from endivelug.forwarding.buffers.acceptor import Acceptor
+from endivelug.forwarding.buffers.client_guard import ClientGuard
+from endivelug.forwarding.front_server import FrontServer
+from forwarding_builders import LogRecorder
+from platform_standins import ReceivedResponse, _receive_response
+from test_planned_stop import ANSWER_TIMEOUT_S
+
+CONNECTIONS = 200
+REQUEST = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
+
+
+async def read_answer(reader):
+    response = ReceivedResponse()
+    with contextlib.suppress(ConnectionError, h11.RemoteProtocolError):
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            await _receive_response(reader, response)
+    return response
+
+
+@contextlib.asynccontextmanager
+async def running_server():
+    async def respond(method, target, headers, body, writer):
+        await writer.start(200, "", [], b"ok")
+
+    loop, log = asyncio.get_running_loop(), LogRecorder()
+    guard = ClientGuard(memory_mb=0, clock=loop.time, log=log, gauges={})
+    server = FrontServer(handler=respond, log=log, guard=guard)
+    address = ("127.0.0.1", free_port())
+    server.listen("{}:{}".format(*address))
+    try:
+        yield server, address
+    finally:
+        await server.close()
+
+
+# Guards against resetting connections that the kernel has accepted before the listener
+# closes, with the requests on them.
+def test_connections_that_wait_are_accepted_before_the_listener_closes():
+    async def scenario():
+        async with running_server() as (server, address):
+            callers = [socket.create_connection(address) for _ in range(CONNECTIONS)]
+            for caller in callers:
+                caller.send(REQUEST)
+            server.stop_accepting()
+            statuses = []
+            for caller in callers:
+                caller.setblocking(False)
+                reader, writer = await asyncio.open_connection(sock=caller)
+                statuses.append((await read_answer(reader)).status)
+                writer.close()
+            assert statuses == [200] * CONNECTIONS
+
+    asyncio.run(scenario())
+
+
+# Guards against a listener that does not close because there is no room for what waits.
+def test_a_listener_without_room_closes():
+    async def scenario():
+        acceptor = Acceptor(
+            has_room=lambda: False,
+            on_accepted=lambda stream, address: None,
+            max_buffer_size=65536,
+            read_chunk_size=4096,
+        )
+        port = free_port()
+        acceptor.listen("127.0.0.1", port)
+        with socket.create_connection(("127.0.0.1", port)):
+            acceptor.stop()
+            assert acceptor.sockets == []
+            await asyncio.sleep(0.1)
+
+    asyncio.run(scenario())
