Count an answer as delivered once its end is written

Cause: the end of a chunked body was written without being awaited. If the kernel did not take it at once, the request's task ended, the stop saw no task any more, and closing the connection dropped what tornado still held. Change: `Writer.finish` waits until everything is written, within the limits for slow readers.

--- a/src/endivelug/forwarding/attempt.py
+++ b/src/endivelug/forwarding/attempt.py
@@ -22,9 +22,9 @@
 from endivelug.forwarding.cluster_view import ClusterView
 from endivelug.forwarding.connection_pool import MAX_IDLE_S, ConnectionPool
 from endivelug.forwarding.engine_reach import EngineReach, Reach
-from endivelug.forwarding.front_server import Writer
 from endivelug.forwarding.placement import Placement
 from endivelug.forwarding.requests import ResponseInfo, SendOptions, WireFormat
+from endivelug.forwarding.response_writer import Writer
 from endivelug.forwarding.upstream_connection import (
     BodyData,
     BodyEnd,
@@ -336,7 +336,7 @@
                         await self._write_response(
                             call, writer, head, bytes(splitter.partial)
                         )
-                    writer.finish()
+                    await writer.finish()
                     return Delivered(), info
 
     async def _write_response(
--- a/src/endivelug/forwarding/buffers/admission.py
+++ b/src/endivelug/forwarding/buffers/admission.py
@@ -19,7 +19,7 @@
 from endivelug.forwarding.response_parser import Headers
 
 if TYPE_CHECKING:
-    from endivelug.forwarding.front_server import Writer
+    from endivelug.forwarding.response_writer import Writer
 
 # Statuses that the router itself gives only to requests that did not run. What a status
 # promises to callers, also one of an upstream, is in ``not_run_statuses``.
--- a/src/endivelug/forwarding/buffers/head_check.py
+++ b/src/endivelug/forwarding/buffers/head_check.py
@@ -9,7 +9,7 @@
 from endivelug.forwarding.routes import Organisation, Route, RoutingConfiguration
 
 if TYPE_CHECKING:
-    from endivelug.forwarding.front_server import Writer
+    from endivelug.forwarding.response_writer import Writer
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/endivelug/forwarding/forwarder.py
+++ b/src/endivelug/forwarding/forwarder.py
@@ -28,12 +28,12 @@
 from endivelug.forwarding.crash_watch import CrashWatch
 from endivelug.forwarding.dispatcher import Dispatcher
 from endivelug.forwarding.error_responses import ErrorResponses
-from endivelug.forwarding.front_server import Writer
 from endivelug.forwarding.placement import Placement
 from endivelug.forwarding.planned_stop import Stopping, StopTimes
 from endivelug.forwarding.quotas.quota_gate import QuotaGate
 from endivelug.forwarding.refused_callers import RefusedCallers, request_digest
 from endivelug.forwarding.requests import InboundRequest, WireFormat
+from endivelug.forwarding.response_writer import Writer
 from endivelug.forwarding.retry_budget import SharedRetryBudget
 from endivelug.forwarding.stream_recovery import StreamRecovery
 from endivelug.forwarding.upstream_connection import Headers
--- a/src/endivelug/forwarding/front_server.py
+++ b/src/endivelug/forwarding/front_server.py
@@ -2,19 +2,14 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from http import HTTPStatus
-from http.client import responses
-from typing import Any
 
 from tornado.httpserver import HTTPServer
 from tornado.httputil import (
     HTTPConnection,
-    HTTPHeaders,
     HTTPMessageDelegate,
     HTTPServerConnectionDelegate,
-    ResponseStartLine,
 )
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import IOStream
 
 from endivelug._caller_presence import CALLER_CHECK_INTERVAL_S, closed_connections
 from endivelug.exceptions import CallerLeft
@@ -23,9 +18,9 @@
 from endivelug.forwarding.buffers.head_check import HeadCheck
 from endivelug.forwarding.buffers.held_body import READ_BYTES
 from endivelug.forwarding.buffers.idle_connections import IdleConnections
-from endivelug.forwarding.buffers.request_reader import RequestReader, remote_address
-from endivelug.forwarding.buffers.unread_response import WRITE_BYTES, UnreadResponse
+from endivelug.forwarding.buffers.request_reader import RequestReader
 from endivelug.forwarding.cluster_view import MAX_LOGGED_REASON, LogLine
+from endivelug.forwarding.response_writer import Writer
 from endivelug.forwarding.upstream_connection import Headers
 
 # Longer than the idle time that the configuration grants to callers; the limit of file
@@ -35,122 +30,6 @@
 MAX_HEADER_BYTES = 64 * 1024
 
 
-class Writer:
-    """Writes the response to one request of a caller.
-
-    Parameters
-    ----------
-    guard : ClientGuard or None
-        Closes a caller that does not read; None if none is closed.
-
-    Attributes
-    ----------
-    close_after : bool
-        Whether the response asks the caller to close the connection.
-    disconnected : bool
-        Whether the caller closed the connection.
-    """
-
-    def __init__(
-        self,
-        *,
-        connection: HTTPConnection,
-        close_after: bool,
-        guard: ClientGuard | None = None,
-    ) -> None:
-        self.connection = connection
-        self.close_after = close_after
-        self.guard = guard
-        self.unread: UnreadResponse | None = None
-        self.disconnected = False
-        self.head_sent = False
-
-    async def start(
-        self, status: int, reason: str, headers: Headers, body: bytes | None = None
-    ) -> None:
-        """Send the head; with a ``body``, send the complete response."""
-        fields = HTTPHeaders()
-        for name, value in headers:
-            fields.add(name, value)
-        if self.close_after:
-            fields["Connection"] = "close"
-        if body is not None:
-            fields["Content-Length"] = str(len(body))
-        line = ResponseStartLine("HTTP/1.1", status, reason or _default_reason(status))
-        first = (body or b"")[:WRITE_BYTES]
-        written = self.connection.write_headers(line, fields, first)
-        self.head_sent = True
-        await self._finish_write(written, len(first))
-        if body is not None:
-            for start in range(WRITE_BYTES, len(body), WRITE_BYTES):
-                await self.write(body[start : start + WRITE_BYTES])
-            self.connection.finish()
-
-    async def write(self, data: bytes) -> None:
-        """Send a chunk of the body."""
-        await self._finish_write(self.connection.write(data), len(data))
-
-    def check_connected(self) -> None:
-        """Look whether the caller has closed its connection.
-
-        The event loop learns of it only in one of its next turns, and a busy one much
-        later.
-
-        Raises
-        ------
-        CallerLeft
-            If the caller has closed the connection.
-        """
-        if self.disconnected or closed_connections([self.connection]):
-            raise CallerLeft("the caller closed the connection; drop the request")
-
-    def finish(self) -> None:
-        """End a complete response."""
-        if not self.disconnected:
-            self.connection.finish()
-
-    async def fail(self) -> None:
-        """End a response that a fault of the program keeps from being given."""
-        try:
-            if not self.head_sent:
-                await self.start(HTTPStatus.BAD_GATEWAY, "", [], b"")
-                return
-        except CallerLeft:
-            pass
-        self.abort()
-
-    def abort(self) -> None:
-        """Close the connection, so that the response does not look complete."""
-        stream: Any = getattr(self.connection, "stream", None)
-        if stream is not None:
-            stream.close()
-
-    def release(self) -> None:
-        """Return the memory that is charged for the response."""
-        if self.unread is not None:
-            self.unread.release()
-
-    async def _finish_write(self, written: asyncio.Future[None], count: int) -> None:
-        try:
-            if written.done() or self.guard is None:
-                await written
-                return
-            if self.unread is None:
-                self.unread = UnreadResponse(
-                    guard=self.guard,
-                    address=remote_address(self.connection),
-                    close=self.abort,
-                )
-            await self.unread.wait(written, count)
-        except StreamClosedError as error:
-            self.disconnected = True
-            raise CallerLeft("the connection is closed; drop the request") from error
-
-
-def _default_reason(status: int) -> str:
-    return responses.get(status, "Unknown")
-
-
 Handler = Callable[[str, str, Headers, bytes, Writer], Awaitable[None]]
 
 
--- a/src/endivelug/forwarding/status_pages.py
+++ b/src/endivelug/forwarding/status_pages.py
@@ -3,8 +3,9 @@
 from collections.abc import Callable
 
 from endivelug.forwarding.buffers.client_guard import ClientGuard
-from endivelug.forwarding.front_server import FrontServer, Handler, Writer
+from endivelug.forwarding.front_server import FrontServer, Handler
 from endivelug.forwarding.node_metrics import NodeMetrics
+from endivelug.forwarding.response_writer import Writer
 from endivelug.forwarding.upstream_connection import Headers
 
 # Connections to each of the two ports; the oldest idle one is closed for a new one.
--- a/tests/test_arrivals_in_stops.py
+++ b/tests/test_arrivals_in_stops.py
@@ -10,6 +10,7 @@
 from endivelug.forwarding.buffers.acceptor import Acceptor
 from endivelug.forwarding.buffers.client_guard import ClientGuard
 from endivelug.forwarding.front_server import FrontServer
+from endivelug.forwarding.response_writer import Writer
 from forwarding_builders import LogRecorder
 from platform_standins import ReceivedResponse, _receive_response
 from test_planned_stop import ANSWER_TIMEOUT_S
@@ -79,3 +80,40 @@
             await asyncio.sleep(0.1)
 
     asyncio.run(scenario())
+
+
+class PausedStream:
+    """Stream that has not written yet what it was given."""
+
+    def __init__(self, loop):
+        self.written = loop.create_future()
+
+    def writing(self):
+        return not self.written.done()
+
+    def write(self, data):
+        return self.written
+
+
+class PausedConnection:
+    def __init__(self, stream):
+        self.stream = stream
+        self.finished = False
+
+    def finish(self):
+        self.finished = True
+
+
+# Guards against taking an answer for delivered whose end is still in this process.
+def test_a_response_is_finished_once_its_end_is_written():
+    async def scenario():
+        stream = PausedStream(asyncio.get_running_loop())
+        connection = PausedConnection(stream)
+        writer = Writer(connection=connection, close_after=False)
+        finishing = asyncio.create_task(writer.finish())
+        await asyncio.sleep(0.01)
+        assert connection.finished and not finishing.done()
+        stream.written.set_result(None)
+        await asyncio.wait_for(finishing, 1.0)
+
+    asyncio.run(scenario())
--- a/tests/test_departed_callers.py
+++ b/tests/test_departed_callers.py
@@ -7,7 +7,7 @@
 from tornado.iostream import StreamClosedError
 
 from endivelug.exceptions import CallerLeft
-from endivelug.forwarding.front_server import Writer
+from endivelug.forwarding.response_writer import Writer
 from router_process import KEY, PROMPT, metrics_port, run_scenario, wait_until
 
 __all__ = ["metrics_port"]
