Close connections so that callers can read their answers

Another request was passed on behind an answer with `Connection: close`, where its caller does not read.

Cause: the stop closed sockets as soon as no task was left. If bytes on a socket are unread, or come after its close, the kernel resets the connection and drops what the peer has not acknowledged. And the header alone does not make tornado stop reading. Change: a closed connection is shut down for sending first; what comes is read and dropped until the caller closes, or has acknowledged everything and 1 s has passed, or the stop ends. The stop waits for open connections in place of tasks. Nothing is read behind an answer that announced the close; requests in progress at the signal announce it too. Lingering connections count towards the bound of descriptors.

Ruled out: SO_LINGER, which blocks the event loop in `close` or resets.

--- a/src/endivelug/forwarding/buffers/idle_connections.py
+++ b/src/endivelug/forwarding/buffers/idle_connections.py
@@ -42,12 +42,6 @@
         """Remove a connection whose request has begun, or that has closed."""
         self.readers.pop(reader, None)
 
-    def close_all(self) -> None:
-        """Close the connections."""
-        for reader in list(self.readers):
-            self.discard(reader)
-            reader.close()
-
     def close_oldest(self) -> bool:
         """Close the connection that has waited for longest; return whether one did."""
         reader = next(iter(self.readers), None)
--- a/src/endivelug/forwarding/front_server.py
+++ b/src/endivelug/forwarding/front_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 from tornado.httpserver import HTTPServer
 from tornado.httputil import (
@@ -18,6 +19,7 @@
 from endivelug.forwarding.buffers.head_check import HeadCheck
 from endivelug.forwarding.buffers.held_body import READ_BYTES
 from endivelug.forwarding.buffers.idle_connections import IdleConnections
+from endivelug.forwarding.buffers.lingering_close import LingeringCloser
 from endivelug.forwarding.buffers.request_reader import RequestReader
 from endivelug.forwarding.cluster_view import MAX_LOGGED_REASON, LogLine
 from endivelug.forwarding.response_writer import Writer
@@ -52,7 +54,8 @@
     Attributes
     ----------
     closing : bool
-        Whether each response asks the caller to close the connection.
+        Whether each response asks the caller to close the connection, which is closed
+        after it.
     tasks : dict of Writer to asyncio.Task
         Requests in progress.
     left_total : int
@@ -83,6 +86,8 @@
         self.left_total = 0
         self._streams: set[IOStream] = set()
         self.idle = IdleConnections(guard=guard, header_timeout_s=header_timeout_s)
+        self.closer = LingeringCloser(clock=guard.clock)
+        self._announced: set[IOStream] = set()
         self.server = HTTPServer(
             self,
             idle_connection_timeout=IDLE_TIMEOUT_S,
@@ -110,6 +115,11 @@
             on_complete=self._begin,
         )
         self.idle.add(reader)
+        stream = reader.connection.stream
+        if stream in self._announced:
+            # The caller was told that no further request is read here.
+            self._announced.discard(stream)
+            self.closer.close(stream)
         return reader
 
     def on_close(self, server_conn: object) -> None:
@@ -132,13 +142,14 @@
     @property
     def max_open(self) -> int:
         """Largest number that ``connections`` can return now."""
-        return len(self._streams)
+        return len(self._streams) + len(self.closer)
 
     @property
     def connections(self) -> int:
         """Number of open connections."""
         self._streams = {item for item in self._streams if not item.closed()}
-        return len(self._streams)
+        self._announced &= self._streams
+        return len(self._streams) + len(self.closer)
 
     def listen(self, address: str) -> None:
         """Listen on an IP address and port."""
@@ -157,13 +168,37 @@
         if tasks:
             await asyncio.wait(tasks, timeout=timeout_s)
 
+    def begin_closing(self) -> None:
+        """Announce in each response from now on that its connection is closed."""
+        self.closing = True
+        for writer in self.tasks:
+            writer.close_after = True
+
     def close_idle(self) -> None:
         """Close the connections on which no request has begun."""
-        self.idle.close_all()
+        for reader in list(self.idle.readers):
+            self.idle.discard(reader)
+            self.closer.close(reader.connection.stream)
+
+    async def close(self, *, until: float = float("-inf")) -> None:
+        """Stop listening and close every connection.
 
-    async def close(self) -> None:
-        """Stop listening and close every connection."""
+        Parameters
+        ----------
+        until : float
+            Time until which callers may read what was written to them.
+        """
         self.acceptor.stop()
+        self.closer.until = until
+        streams = [stream for stream in self._streams if not stream.closed()]
+        writing = [stream.write(b"") for stream in streams if stream.writing()]
+        if writing:
+            await asyncio.wait(writing, timeout=max(0.0, until - self.guard.clock()))
+        for stream in streams:
+            if not stream.writing():
+                self.closer.close(stream)
+            stream.close()
+        await self.closer.wait(until=until)
         await self.server.close_all_connections()
 
     def _accepted(self, stream: IOStream, address: tuple[str, int]) -> None:
@@ -180,7 +215,10 @@
     def _begin(self, reader: RequestReader) -> None:
         """Start the handler of a complete request in a separate task."""
         writer = Writer(
-            connection=reader.connection, close_after=self.closing, guard=self.guard
+            connection=reader.connection,
+            close_after=self.closing,
+            guard=self.guard,
+            on_close_announced=partial(self._announced.add, reader.connection.stream),
         )
         task = asyncio.get_running_loop().create_task(self._handle(reader, writer))
         tasks = self.tasks
--- a/src/endivelug/forwarding/node.py
+++ b/src/endivelug/forwarding/node.py
@@ -11,6 +11,7 @@
 from endivelug.forwarding.attempt import AttemptRunner
 from endivelug.forwarding.background_jobs import BackgroundJobs
 from endivelug.forwarding.buffers.front import make_front_server
+from endivelug.forwarding.buffers.lingering_close import LINGER_S
 from endivelug.forwarding.cache_store_watch import CacheStoreWatch
 from endivelug.forwarding.cache_tracker import CacheTracker
 from endivelug.forwarding.call_recorder import CallRecorder
@@ -381,7 +382,7 @@
             self.view.loads.forget(instance.name)
 
     async def _shut_down(self) -> None:
-        """Release the order lease, finish the requests in progress and close."""
+        """Finish the requests in progress and close."""
         end_at = self.clock() + self.settings.grace_s - SHUTDOWN_MARGIN_S
         self.stopping = self.orders.stopping = True
         # Cancelled with the other jobs if the store does not answer.
@@ -393,7 +394,7 @@
         await self.jobs.cancel()
         await self.peers.close()
         await self.orders.close()
-        await self.front_server.close()
+        await self.front_server.close(until=self.clock() + LINGER_S)
         await self.status_pages.close()
         self.pool.close()
         self.log.flush()
--- a/src/endivelug/forwarding/planned_stop.py
+++ b/src/endivelug/forwarding/planned_stop.py
@@ -104,14 +104,16 @@
     async def run(self, *, end_at: float) -> None:
         """Serve on during the notice, then finish what is in progress until a time."""
         server = self.front_server
-        server.closing = True
+        server.begin_closing()
         self.log("stopping", in_progress=len(server.tasks))
         self.times.calls_end_at = end_at - FINAL_ANSWERS_S
         await asyncio.sleep(READINESS_NOTICE_S)
         # The only VM of a data centre gets new connections until it refuses them.
         server.stop_accepting()
         self.refuse_requests()
-        while self.clock() < self.times.calls_end_at and server.tasks:
+        # Connections may be open without a task: their requests are arriving, or their
+        # callers have not read the end of an answer.
+        while self.clock() < self.times.calls_end_at and server.connections:
             server.close_idle()
             await asyncio.sleep(CHECK_INTERVAL_S)
         left = len(server.tasks)
--- a/src/endivelug/forwarding/response_writer.py
+++ b/src/endivelug/forwarding/response_writer.py
@@ -1,6 +1,7 @@
 """Writes the response to one request of a caller."""
 
 import asyncio
+from collections.abc import Callable
 from http import HTTPStatus
 from http.client import responses
 from typing import Any
@@ -23,6 +24,8 @@
     ----------
     guard : ClientGuard or None
         Closes a caller that does not read; None if none is closed.
+    on_close_announced : callable
+        Called when the response asks the caller to close the connection.
 
     Attributes
     ----------
@@ -38,10 +41,12 @@
         connection: HTTPConnection,
         close_after: bool,
         guard: ClientGuard | None = None,
+        on_close_announced: Callable[[], None] = lambda: None,
     ) -> None:
         self.connection = connection
         self.close_after = close_after
         self.guard = guard
+        self.on_close_announced = on_close_announced
         self.unread: UnreadResponse | None = None
         self.disconnected = False
         self.head_sent = False
@@ -55,6 +60,7 @@
             fields.add(name, value)
         if self.close_after:
             fields["Connection"] = "close"
+            self.on_close_announced()
         if body is not None:
             fields["Content-Length"] = str(len(body))
         line = ResponseStartLine("HTTP/1.1", status, reason or _default_reason(status))
