Answer requests that arrive while a stop closes connections

A request whose body came in chunks when the notice of a planned stop ended was closed without any answer, while seconds of the grace were left; the log had no line of it.

Cause: a request that is being read is in no task, and a stop without tasks closed everything. Idle meant idle for the process, not for the kernel. Change: a request whose body is still arriving when the VM begins to refuse is answered 503 "not run" with Retry-After at once, and the rest is dropped while it comes. Idle connections are closed only if neither tornado nor the kernel holds bytes of them; heads that have begun get 1 s. Connections that were just accepted get one interval.

--- a/src/endivelug/_caller_presence.py
+++ b/src/endivelug/_caller_presence.py
@@ -18,17 +18,33 @@
 
     All are looked at in one system call. None stands for one that is gone already.
     """
-    closed: list[HTTPConnection | None] = []
+    return _ready_connections(connections, select.POLLRDHUP)
+
+
+def unread_connections(
+    connections: Iterable[HTTPConnection | None],
+) -> list[HTTPConnection | None]:
+    """Return the connections of which the kernel has received unread bytes or an end.
+
+    All are looked at in one system call. None stands for one that is gone already.
+    """
+    return _ready_connections(connections, select.POLLIN)
+
+
+def _ready_connections(
+    connections: Iterable[HTTPConnection | None], events: int
+) -> list[HTTPConnection | None]:
+    ready: list[HTTPConnection | None] = []
     by_descriptor: dict[int, HTTPConnection | None] = {}
     poller = select.poll()
     for connection in connections:
         stream: Any = getattr(connection, "stream", None)
         if stream is None or stream.closed():
-            closed.append(connection)
+            ready.append(connection)
             continue
         descriptor = stream.socket.fileno()
         by_descriptor[descriptor] = connection
-        poller.register(descriptor, select.POLLRDHUP)
+        poller.register(descriptor, events)
     if by_descriptor:
-        closed += [by_descriptor[ready] for ready, _ in poller.poll(0)]
-    return closed
+        ready += [by_descriptor[descriptor] for descriptor, _ in poller.poll(0)]
+    return ready
--- a/src/endivelug/forwarding/buffers/idle_connections.py
+++ b/src/endivelug/forwarding/buffers/idle_connections.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from endivelug._caller_presence import unread_connections
 from endivelug.forwarding.buffers.client_guard import (
     CONNECTION_BYTES,
     ClientGuard,
@@ -42,6 +43,13 @@
         """Remove a connection whose request has begun, or that has closed."""
         self.readers.pop(reader, None)
 
+    def quiet(self) -> list[RequestReader]:
+        """Return the readers of connections on which nothing has arrived."""
+        waiting = [item for item in self.readers if not item.buffered_bytes]
+        # The event loop may not have read yet what the kernel has received.
+        unread = set(unread_connections(item.connection for item in waiting))
+        return [item for item in waiting if item.connection not in unread]
+
     def close_oldest(self) -> bool:
         """Close the connection that has waited for longest; return whether one did."""
         reader = next(iter(self.readers), None)
--- a/src/endivelug/forwarding/buffers/request_reader.py
+++ b/src/endivelug/forwarding/buffers/request_reader.py
@@ -48,7 +48,10 @@
     check_head : callable or None
         Checks the head of a request that has a body.
     on_begun : callable
-        Called once the head was received, or the connection ended without one.
+        Called once the head was received.
+    on_closed : callable
+        Called if the connection ends, or the request is refused, before the request is
+        complete.
     on_complete : callable
         Called with the reader when the request is complete.
 
@@ -77,12 +80,14 @@
         guard: ClientGuard,
         check_head: HeadCheck | None,
         on_begun: Callable[["RequestReader"], None],
+        on_closed: Callable[["RequestReader"], None],
         on_complete: Callable[["RequestReader"], None],
     ) -> None:
         self.connection = cast(HTTP1Connection, connection)
         self.guard = guard
         self.check_head = check_head
         self.on_begun = on_begun
+        self.on_closed = on_closed
         self.on_complete = on_complete
         self.line: RequestStartLine
         self.headers: HTTPHeaders
@@ -155,9 +160,14 @@
 
     def on_connection_close(self) -> None:
         """Return the memory of a request whose connection closed before its end."""
-        self.on_begun(self)
+        self.on_closed(self)
         self.release()
 
+    def refuse(self, reason: str) -> None:
+        """Refuse a request whose body is still being read; it is not run."""
+        if not self._answered:
+            self._answer(self.refused or self._refusal(503, reason))
+
     def close(self) -> None:
         """Close the connection."""
         self.release()
@@ -237,6 +247,7 @@
     def _answer(self, refused: HeadRefused) -> None:
         """Send a refusal before the body is read, then drop the rest of it."""
         self._answered = True
+        self.on_closed(self)
         self.release()
         stream = self.connection.stream
         if stream is None or stream.closed():
--- a/src/endivelug/forwarding/front_server.py
+++ b/src/endivelug/forwarding/front_server.py
@@ -62,6 +62,8 @@
         Callers that left while an answer was written that the handler does not log.
     idle : IdleConnections
         Readers of connections on which no request has begun.
+    arriving : dict of RequestReader to None
+        Readers of requests whose bodies are still being read.
     """
 
     def __init__(
@@ -86,6 +88,7 @@
         self.left_total = 0
         self._streams: set[IOStream] = set()
         self.idle = IdleConnections(guard=guard, header_timeout_s=header_timeout_s)
+        self.arriving: dict[RequestReader, None] = {}
         self.closer = LingeringCloser(clock=guard.clock)
         self._announced: set[IOStream] = set()
         self.server = HTTPServer(
@@ -111,7 +114,8 @@
             connection=request_conn,
             guard=self.guard,
             check_head=self.check_head,
-            on_begun=self.idle.discard,
+            on_begun=self._head_received,
+            on_closed=self._discard,
             on_complete=self._begin,
         )
         self.idle.add(reader)
@@ -174,9 +178,21 @@
         for writer in self.tasks:
             writer.close_after = True
 
-    def close_idle(self) -> None:
-        """Close the connections on which no request has begun."""
-        for reader in list(self.idle.readers):
+    def refuse_arriving(self) -> None:
+        """Refuse the requests whose bodies are still being read."""
+        for reader in list(self.arriving):
+            reader.refuse("this VM is stopping")
+
+    def close_idle(self, *, with_begun: bool) -> None:
+        """Close the connections on which no request arrives.
+
+        Parameters
+        ----------
+        with_begun : bool
+            Whether to close also those on which a part of a head has arrived.
+        """
+        readers = list(self.idle.readers) if with_begun else self.idle.quiet()
+        for reader in readers:
             self.idle.discard(reader)
             self.closer.close(reader.connection.stream)
 
@@ -212,8 +228,17 @@
             return True
         return self.idle.close_oldest() or self.guard.close_slowest()
 
+    def _head_received(self, reader: RequestReader) -> None:
+        self.idle.discard(reader)
+        self.arriving[reader] = None
+
+    def _discard(self, reader: RequestReader) -> None:
+        self.idle.discard(reader)
+        self.arriving.pop(reader, None)
+
     def _begin(self, reader: RequestReader) -> None:
         """Start the handler of a complete request in a separate task."""
+        self.arriving.pop(reader, None)
         writer = Writer(
             connection=reader.connection,
             close_after=self.closing,
--- a/src/endivelug/forwarding/planned_stop.py
+++ b/src/endivelug/forwarding/planned_stop.py
@@ -19,6 +19,8 @@
 # Time before that in which the calls that are still in progress get their answers.
 FINAL_ANSWERS_S = 0.2
 CHECK_INTERVAL_S = 0.05
+# Time that heads which have begun to arrive get to arrive whole and be refused.
+HEAD_ARRIVAL_S = 1.0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -111,11 +113,14 @@
         # The only VM of a data centre gets new connections until it refuses them.
         server.stop_accepting()
         self.refuse_requests()
+        server.refuse_arriving()
+        heads_until = self.clock() + HEAD_ARRIVAL_S
         # Connections may be open without a task: their requests are arriving, or their
         # callers have not read the end of an answer.
         while self.clock() < self.times.calls_end_at and server.connections:
-            server.close_idle()
+            # Requests on connections that were just accepted get time to arrive.
             await asyncio.sleep(CHECK_INTERVAL_S)
+            server.close_idle(with_begun=self.clock() >= heads_until)
         left = len(server.tasks)
         self.times.ending = True
         await server.end_requests(timeout_s=FINAL_ANSWERS_S)
--- a/tests/test_arrivals_in_stops.py
+++ b/tests/test_arrivals_in_stops.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import json
+import signal
 import socket
 
 import h11
@@ -10,10 +12,12 @@
 from endivelug.forwarding.buffers.acceptor import Acceptor
 from endivelug.forwarding.buffers.client_guard import ClientGuard
 from endivelug.forwarding.front_server import FrontServer
+from endivelug.forwarding.planned_stop import READINESS_NOTICE_S
 from endivelug.forwarding.response_writer import Writer
 from forwarding_builders import LogRecorder
+from misbehaving_clients import KEY, running_process
 from platform_standins import ReceivedResponse, _receive_response
-from test_planned_stop import ANSWER_TIMEOUT_S
+from test_planned_stop import ANSWER_TIMEOUT_S, PATIENT, begin_stop
 
 CONNECTIONS = 200
 REQUEST = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
@@ -27,6 +31,42 @@
     return response
 
 
+# Guards against cutting a request whose body in chunks arrives while the router, which
+# has no other request, closes its connections: its caller has to be told that it was
+# not run.
+def test_a_body_that_arrives_during_the_stop_is_refused(tmp_path):
+    async def scenario():
+        async with running_process(tmp_path) as running:
+            host, _, port = running.front.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            fields = {
+                "Host": "h.example",
+                "Transfer-Encoding": "chunked",
+                "X-Request-Id": "slow",
+                **KEY,
+                **PATIENT,
+            }
+            lines = ["POST /a/orders/x HTTP/1.1"]
+            lines += [f"{name}: {value}" for name, value in fields.items()]
+            writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+            await begin_stop(running)
+            before = len(running.desk.exchanges)
+            with contextlib.suppress(ConnectionError):
+                for _ in range(int(READINESS_NOTICE_S / 0.1) + 10):
+                    writer.write(b"1\r\nb\r\n")
+                    await writer.drain()
+                    await asyncio.sleep(0.1)
+                writer.write(b"0\r\n\r\n")
+            response = await read_answer(reader)
+            assert (response.status, response.complete) == (503, True)
+            assert float(response.headers["retry-after"]) > 0
+            assert json.loads(response.body)["run"] == "not-run"
+            assert len(running.desk.exchanges) == before
+            writer.close()
+
+    asyncio.run(scenario())
+
+
 @contextlib.asynccontextmanager
 async def running_server():
     async def respond(method, target, headers, body, writer):
@@ -43,6 +83,25 @@
         await server.close()
 
 
+# Guards against closing an idle connection whose next request the kernel has received
+# and the event loop, which is busy, has not read.
+def test_a_request_in_the_kernel_is_answered_when_idle_connections_close():
+    async def scenario():
+        async with running_server() as (server, address):
+            caller = socket.create_connection(address)
+            while len(server.idle) == 0:
+                await asyncio.sleep(0.01)
+            # No turn of the event loop comes between the two.
+            caller.send(REQUEST)
+            server.close_idle(with_begun=False)
+            caller.setblocking(False)
+            reader, writer = await asyncio.open_connection(sock=caller)
+            assert (await read_answer(reader)).complete
+            writer.close()
+
+    asyncio.run(scenario())
+
+
 # Guards against resetting connections that the kernel has accepted before the listener
 # closes, with the requests on them.
 def test_connections_that_wait_are_accepted_before_the_listener_closes():
@@ -117,3 +176,24 @@
         await asyncio.wait_for(finishing, 1.0)
 
     asyncio.run(scenario())
+
+
+# Guards against a stop that waits for a caller which keeps a connection without a
+# request, or a part of a head, until the end of the grace period.
+def test_a_head_that_does_not_end_does_not_hold_the_stop(tmp_path):
+    async def scenario():
+        async with running_process(tmp_path) as running:
+            host, _, port = running.front.rpartition(":")
+            _, idle = await asyncio.open_connection(host, int(port))
+            _, partial = await asyncio.open_connection(host, int(port))
+            partial.write(REQUEST[:20])
+            loop = asyncio.get_running_loop()
+            began_at = loop.time()
+            running.process.send_signal(signal.SIGTERM)
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                assert await running.process.wait() == 0
+            assert loop.time() - began_at < 5.5
+            idle.close()
+            partial.close()
+
+    asyncio.run(scenario())
