End a stopped process by itself, whatever its parts do

Cause: links, orders, listeners and jobs were awaited one after another without a limit, and an error in one skipped all that followed, including the callers' connections and the log. The interpreter's own end took up to 1 s under load, waits for tasks that ignore their cancellation, and runs after the loop's signal handlers are gone. Change: each part has a time limit, failures are logged as `close-failed` and the rest goes on, callers first. After the last lines, of which `exiting` is the last one, the process ends at once with code 0. An error elsewhere is logged as `process-failed`.

Not covered: a process that gets no processor time at all.

--- a/src/endivelug/forwarding/node.py
+++ b/src/endivelug/forwarding/node.py
@@ -11,7 +11,6 @@
 from endivelug.forwarding.attempt import AttemptRunner
 from endivelug.forwarding.background_jobs import BackgroundJobs
 from endivelug.forwarding.buffers.front import make_front_server
-from endivelug.forwarding.buffers.lingering_close import LINGER_S
 from endivelug.forwarding.cache_store_watch import CacheStoreWatch
 from endivelug.forwarding.cache_tracker import CacheTracker
 from endivelug.forwarding.call_recorder import CallRecorder
@@ -30,6 +29,7 @@
 from endivelug.forwarding.node_gauges import register_gauges
 from endivelug.forwarding.node_metrics import NodeMetrics
 from endivelug.forwarding.node_settings import NodeSettings
+from endivelug.forwarding.node_shutdown import shut_down
 from endivelug.forwarding.order_lease import (
     CLOCK_BOUND_S,
     LEASE_RENEW_S,
@@ -38,7 +38,7 @@
 from endivelug.forwarding.peer_messages import NoticeKind
 from endivelug.forwarding.peers import Peers
 from endivelug.forwarding.placement import OLD_WEIGHTS_MARGIN_S, Placer
-from endivelug.forwarding.planned_stop import SHUTDOWN_MARGIN_S, PlannedStop
+from endivelug.forwarding.planned_stop import PlannedStop
 from endivelug.forwarding.process_pauses import ProcessPauses
 from endivelug.forwarding.quotas.quota_gate import make_quota_gate
 from endivelug.forwarding.refused_callers import RefusedCallers
@@ -316,6 +316,11 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
+        self._start()
+        await stop.wait()
+        await shut_down(self)
+
+    def _start(self) -> None:
         self._listen()
         self.log("started", data_centre=self.settings.data_centre)
         self.budget.assume_predecessor(now=self.clock())
@@ -336,8 +341,6 @@
             self.front_server.watch_callers,
         ):
             self.jobs.start(job)
-        await stop.wait()
-        await self._shut_down()
 
     def _listen(self) -> None:
         self.status_pages.listen(
@@ -380,21 +383,3 @@
         self.pool.close_idle(instance.address)
         if not self.view.loads.of(instance.name).work:
             self.view.loads.forget(instance.name)
-
-    async def _shut_down(self) -> None:
-        """Finish the requests in progress and close."""
-        end_at = self.clock() + self.settings.grace_s - SHUTDOWN_MARGIN_S
-        self.stopping = self.orders.stopping = True
-        # Cancelled with the other jobs if the store does not answer.
-        self.jobs.start(self.lease_keeper.resign)
-        await self.stop.run(end_at=end_at)
-        await self._close()
-
-    async def _close(self) -> None:
-        await self.jobs.cancel()
-        await self.peers.close()
-        await self.orders.close()
-        await self.front_server.close(until=self.clock() + LINGER_S)
-        await self.status_pages.close()
-        self.pool.close()
-        self.log.flush()
--- a/src/endivelug/forwarding/planned_stop.py
+++ b/src/endivelug/forwarding/planned_stop.py
@@ -122,6 +122,10 @@
             await asyncio.sleep(CHECK_INTERVAL_S)
             server.close_idle(with_begun=self.clock() >= heads_until)
         left = len(server.tasks)
-        self.times.ending = True
-        await server.end_requests(timeout_s=FINAL_ANSWERS_S)
+        await self.end_requests()
         self.log("stopped", left=left)
+
+    async def end_requests(self) -> None:
+        """Answer the requests that are still in progress."""
+        self.times.ending = True
+        await self.front_server.end_requests(timeout_s=FINAL_ANSWERS_S)
--- a/src/endivelug/platform/program.py
+++ b/src/endivelug/platform/program.py
@@ -11,9 +11,11 @@
 
 import endivelug
 from endivelug.exceptions import SettingsError
+from endivelug.forwarding.cluster_view import MAX_LOGGED_REASON
 from endivelug.forwarding.connection_pool import ConnectionPool
 from endivelug.forwarding.decision_log import DecisionLog
 from endivelug.forwarding.node import Node
+from endivelug.forwarding.shutdown import LAST_LINES_S
 from endivelug.platform.engine_calls import EngineCalls
 from endivelug.platform.header_format import HeaderFormat
 from endivelug.platform.lease_table import ROUTER_TABLE, LeaseTable
@@ -72,7 +74,24 @@
         log=log,
         rng=random.Random(),
     )
-    uvloop.run(node.run())
+    try:
+        uvloop.run(_run_to_exit(node))
+    except Exception as error:
+        log("process-failed", reason=repr(error)[:MAX_LOGGED_REASON])
+        raise
+    finally:
+        log.finish(until=time.monotonic() + LAST_LINES_S)
+
+
+async def _run_to_exit(node: Node) -> None:
+    """Run a node, and end the process.
+
+    The interpreter's own end takes up to a second on a busy machine, waits for tasks
+    that ignore their cancellation, and runs without the handlers of signals.
+    """
+    await node.run()
+    sys.stderr.flush()
+    os._exit(0)
 
 
 def run_command(argv: list[str] | None) -> Any:
--- a/tests/forwarding_builders.py
+++ b/tests/forwarding_builders.py
@@ -33,6 +33,12 @@
     def __call__(self, event: str, **fields: Any) -> None:
         self.lines.append((event, fields))
 
+    def begin_stop(self) -> None:
+        """Keep every line, also during a stop."""
+
+    def finish(self, *, until: float) -> None:
+        """Write nothing, as the lines stay in memory."""
+
     def events(self) -> list[str]:
         return [event for event, _ in self.lines]
 
--- a/tests/misbehaving_clients.py
+++ b/tests/misbehaving_clients.py
@@ -76,9 +76,18 @@
 
 @contextlib.asynccontextmanager
 async def running_process(
-    folder, *, memory_mb=MEMORY_MB, timeout_ms=5000, grace_s=BOUNDS["graceS"], slots=64
+    folder,
+    *,
+    memory_mb=MEMORY_MB,
+    timeout_ms=5000,
+    grace_s=BOUNDS["graceS"],
+    slots=64,
+    program=("-m", "endivelug.platform"),
 ):
-    """Start the process with lowered limits against stand-ins."""
+    """Start the process with lowered limits against stand-ins.
+
+    ``program`` are the interpreter's arguments.
+    """
     async with contextlib.AsyncExitStack() as stack:
         store = await stack.enter_async_context(running_store())
         desk = await stack.enter_async_context(running_upstream())
@@ -112,8 +121,7 @@
         with (folder / "node.log").open("wb") as log:
             process = await asyncio.create_subprocess_exec(
                 sys.executable,
-                "-m",
-                "endivelug.platform",
+                *program,
                 env={**os.environ, "ENDIVELUG_NODE_FILE": str(path)},
                 stdout=log,
                 stderr=log,
--- a/tests/test_node_start.py
+++ b/tests/test_node_start.py
@@ -4,6 +4,8 @@
 import random
 
 from endivelug.forwarding.node import Node
+from endivelug.forwarding.node_shutdown import close_parts
+from endivelug.forwarding.shutdown import Shutdown
 from endivelug.platform.program import make_platform
 from forwarding_builders import LogRecorder, configuration_document
 from platform_standins import running_store
@@ -48,7 +50,10 @@
                     assert limiter.full_from > now
             finally:
                 for node in nodes:
-                    await node._close()
+                    shutdown = Shutdown(
+                        end_at=node.clock(), clock=node.clock, log=node.log
+                    )
+                    await close_parts(node, shutdown)
                 for task in tasks:
                     task.cancel()
                 await asyncio.gather(*tasks, return_exceptions=True)
