Count the grace period from the signal

Cause: handlers of the event loop run in its next turn. Change: a handler of the process records the time of the first signal and wakes the loop; the grace period and the timer signal count from there.

A process that is stopped by SIGSTOP receives a signal only when it goes on; the kernel keeps no time of it, and that case is as before. A second signal changes nothing.

--- a/src/endivelug/forwarding/node.py
+++ b/src/endivelug/forwarding/node.py
@@ -47,6 +47,7 @@
 from endivelug.forwarding.silence_watch import SilenceWatch
 from endivelug.forwarding.state_sync import StateSync
 from endivelug.forwarding.status_pages import StatusPages
+from endivelug.forwarding.stop_signal import StopSignal
 from endivelug.forwarding.stream_recovery import StreamRecovery
 from endivelug.forwarding.vm_join import VmJoin
 from endivelug.forwarding.vm_rows import VmRows
@@ -313,12 +314,13 @@
         """Serve until SIGTERM or SIGINT."""
         stop = asyncio.Event()
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
-        self._start()
-        await stop.wait()
-        await shut_down(self)
+        with StopSignal(
+            clock=self.clock, notify=lambda: loop.call_soon_threadsafe(stop.set)
+        ) as received:
+            self._start()
+            await stop.wait()
+            await shut_down(self, signalled_at=received.at)
 
     def _start(self) -> None:
         self._listen()
--- a/src/endivelug/forwarding/node_shutdown.py
+++ b/src/endivelug/forwarding/node_shutdown.py
@@ -9,9 +9,9 @@
     from endivelug.forwarding.node import Node
 
 
-async def shut_down(node: "Node") -> None:
+async def shut_down(node: "Node", *, signalled_at: float) -> None:
     """Release the order lease, finish the requests in progress and close."""
-    grace_end = node.clock() + node.settings.grace_s
+    grace_end = signalled_at + node.settings.grace_s
     end_at = grace_end - SHUTDOWN_MARGIN_S
     shutdown = Shutdown(end_at=end_at, clock=node.clock, log=node.log)
     shutdown.set_alarm(grace_end=grace_end)
--- a/tests/test_end_of_process.py
+++ b/tests/test_end_of_process.py
@@ -51,6 +51,18 @@
 
 FrontServer.stop_accepting = block
 """
+BUSY_LOOP = """
+import asyncio, os, time
+from endivelug.forwarding.loop_watch import LoopWatch
+
+async def block(watch):
+    while not os.path.exists({path!r}):
+        await asyncio.sleep(0.01)
+    for _ in range({slices}):
+        time.sleep(0.01)
+
+LoopWatch.run = block
+"""
 FAILING_RUN = """
 import asyncio
 from endivelug.forwarding.node import Node
@@ -128,6 +140,33 @@
     asyncio.run(scenario())
 
 
+# Guards against counting the grace period from the time at which a busy event loop
+# notices the signal: the process would be killed before it has answered.
+def test_the_grace_period_begins_with_the_signal(tmp_path):
+    async def scenario():
+        busy = tmp_path / "busy"
+        slices = int(GRACE_S / 2 / 0.01)
+        fault = BUSY_LOOP.format(path=str(busy), slices=slices)
+        async with running_process(tmp_path, program=program(fault), **LONG) as running:
+
+            async def hang(exchange):
+                await asyncio.sleep(ANSWER_TIMEOUT_S)
+
+            running.desk.script = hang
+            call = asyncio.create_task(
+                running.request(target="/a/orders/1", headers=PATIENT)
+            )
+            before = len(running.desk.exchanges)
+            await wait_until(lambda: len(running.desk.exchanges) > before)
+            busy.touch()
+            await asyncio.sleep(0.2)
+            assert await seconds_to_end(running) < GRACE_S
+            response = await call
+            assert (response.status, response.complete) == (502, True)
+
+    asyncio.run(scenario())
+
+
 # Guards against an exit code of a failure because a signal comes while the process
 # ends, when the event loop's handlers are gone.
 def test_signals_during_the_end_of_a_process_do_not_end_it_as_a_failure(tmp_path):
