Tell in the log what a planned stop did with its requests

Cause: `stopping` and `stopped` had a number each; lines of single requests may be left out. Change: `stopping` names up to 200 requests in progress and the time left, `stopped` has the time taken, the open connections and how many requests ended in the stop by outcome. With `exiting` (lines dropped in all), a missing line is now told from one that was left out, and a killed process from one that ended.

--- a/src/endivelug/forwarding/call_recorder.py
+++ b/src/endivelug/forwarding/call_recorder.py
@@ -1,5 +1,6 @@
 """Log lines and metrics for the course of each call."""
 
+from collections import Counter
 from collections.abc import Callable
 
 from endivelug.forwarding.calls import (
@@ -25,6 +26,11 @@
     ----------
     queue_length : callable
         Returns the number of calls that wait for a service.
+
+    Attributes
+    ----------
+    ends : Counter of str
+        Ended calls since the start, by outcome.
     """
 
     def __init__(
@@ -39,6 +45,7 @@
         self.clock = clock
         self.log = log
         self.queue_length = queue_length
+        self.ends: Counter[str] = Counter()
 
     def record_denied(
         self, request: InboundRequest, status: int, *, configuration: int
@@ -142,6 +149,7 @@
 
     def _record_end(self, call: Call, outcome: str) -> None:
         call.recorded_end = True
+        self.ends[outcome] += 1
         self.metrics.record_end(call, outcome, now=self.clock())
 
     def _age_s(self, call: Call) -> float:
--- a/src/endivelug/forwarding/forwarder.py
+++ b/src/endivelug/forwarding/forwarder.py
@@ -67,6 +67,8 @@
         Whether new requests are refused because this VM is stopping.
     stop_times : StopTimes
         When the calls in progress have to end, if this VM is stopping.
+    calls : dict of str to Call
+        Calls in progress, by their keys.
     """
 
     def __init__(
@@ -107,6 +109,7 @@
         self.on_ended = on_ended
         self.closed = False
         self.stop_times = StopTimes()
+        self.calls: dict[str, Call] = {}
         self.admission = Admission(
             wire=wire,
             view=view,
@@ -151,6 +154,7 @@
             return
         self.budget.record_request(call.service, now=now)
         self.recorder.metrics.record_request(call)
+        self.calls[call.key] = call
         try:
             await self._serve(call, writer)
         except CallerLeft:
@@ -163,6 +167,7 @@
         except Exception as error:
             await self.errors.fail_unforeseen(call, writer, error)
         finally:
+            del self.calls[call.key]
             self.quotas.end(call)
             if call.retry is not None:
                 self.budget.release(call.retry)
--- a/src/endivelug/forwarding/node.py
+++ b/src/endivelug/forwarding/node.py
@@ -222,8 +222,7 @@
         )
         self.stop = PlannedStop(
             front_server=self.front_server,
-            times=self.forwarder.stop_times,
-            refuse_requests=self.forwarder.close,
+            forwarder=self.forwarder,
             clock=self.clock,
             log=log,
         )
--- a/src/endivelug/forwarding/planned_stop.py
+++ b/src/endivelug/forwarding/planned_stop.py
@@ -4,7 +4,9 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Protocol
 
+from endivelug.forwarding.call_recorder import CallRecorder
 from endivelug.forwarding.calls import Call
 from endivelug.forwarding.cluster_view import LogLine
 from endivelug.forwarding.front_server import FrontServer
@@ -21,6 +23,9 @@
 CHECK_INTERVAL_S = 0.05
 # Time that heads which have begun to arrive get to arrive whole and be refused.
 HEAD_ARRIVAL_S = 1.0
+# Requests in progress that the first line of a stop names, and the part of each id.
+MAX_NAMED = 200
+MAX_ID_LENGTH = 64
 
 
 @dataclass(slots=True, kw_only=True)
@@ -79,40 +84,46 @@
         return now + expected_s <= self.calls_end_at
 
 
-class PlannedStop:
-    """Refuses and ends the requests of a VM within its grace period.
+class StoppingForwarder(Protocol):
+    """What a planned stop needs of the forwarder."""
 
-    Parameters
-    ----------
-    refuse_requests : callable
-        Makes the VM refuse the requests that come on open connections.
-    """
+    stop_times: StopTimes
+    calls: dict[str, Call]
+    recorder: CallRecorder
+
+    def close(self) -> None:
+        """Refuse the requests that come on open connections."""
+
+
+class PlannedStop:
+    """Refuses and ends the requests of a VM within its grace period."""
 
     def __init__(
         self,
         *,
         front_server: FrontServer,
-        times: StopTimes,
-        refuse_requests: Callable[[], None],
+        forwarder: StoppingForwarder,
         clock: Callable[[], float],
         log: LogLine,
     ) -> None:
         self.front_server = front_server
-        self.times = times
-        self.refuse_requests = refuse_requests
+        self.forwarder = forwarder
+        self.times = forwarder.stop_times
         self.clock = clock
         self.log = log
 
     async def run(self, *, end_at: float) -> None:
         """Serve on during the notice, then finish what is in progress until a time."""
         server = self.front_server
+        began_at = self.clock()
+        ends_before = self.forwarder.recorder.ends.copy()
         server.begin_closing()
-        self.log("stopping", in_progress=len(server.tasks))
+        self._log_begin(end_at)
         self.times.calls_end_at = end_at - FINAL_ANSWERS_S
         await asyncio.sleep(READINESS_NOTICE_S)
         # The only VM of a data centre gets new connections until it refuses them.
         server.stop_accepting()
-        self.refuse_requests()
+        self.forwarder.close()
         server.refuse_arriving()
         heads_until = self.clock() + HEAD_ARRIVAL_S
         # Connections may be open without a task: their requests are arriving, or their
@@ -121,11 +132,26 @@
             # Requests on connections that were just accepted get time to arrive.
             await asyncio.sleep(CHECK_INTERVAL_S)
             server.close_idle(with_begun=self.clock() >= heads_until)
-        left = len(server.tasks)
+        left, connections = len(server.tasks), server.connections
         await self.end_requests()
-        self.log("stopped", left=left)
+        self.log(
+            "stopped",
+            left=left,
+            connections=connections,
+            took_s=round(self.clock() - began_at, 3),
+            ends=dict(self.forwarder.recorder.ends - ends_before),
+        )
 
     async def end_requests(self) -> None:
         """Answer the requests that are still in progress."""
         self.times.ending = True
         await self.front_server.end_requests(timeout_s=FINAL_ANSWERS_S)
+
+    def _log_begin(self, end_at: float) -> None:
+        ids = [call.request.id for call in self.forwarder.calls.values()]
+        self.log(
+            "stopping",
+            in_progress=len(self.front_server.tasks),
+            requests=[request_id[:MAX_ID_LENGTH] for request_id in ids[:MAX_NAMED]],
+            ends_in_s=round(end_at - self.clock(), 3),
+        )
--- a/tests/test_end_of_process.py
+++ b/tests/test_end_of_process.py
@@ -8,7 +8,7 @@
 import pytest
 
 from misbehaving_clients import running_process
-from router_process import wait_until
+from router_process import PROMPT, wait_until
 from test_planned_stop import ANSWER_TIMEOUT_S, GRACE_S, LONG, PATIENT, begin_stop
 
 MAIN = "from endivelug.platform.__main__ import main; main()"
@@ -203,3 +203,32 @@
 async def refuse_when_ended(running):
     assert await running.process.wait() == 1
     raise ConnectionRefusedError
+
+
+# Guards against a stop of which the log does not tell which requests were in progress,
+# how they ended, and how long it took.
+def test_the_log_of_a_stop_names_its_requests(tmp_path):
+    async def scenario():
+        async with running_process(tmp_path, **LONG) as running:
+
+            async def stream(exchange):
+                await exchange.start_stream()
+                await asyncio.sleep(1.0)
+                await exchange.send_event(1)
+                await exchange.end_stream()
+
+            running.engine.script = stream
+            headers = {"X-Request-Id": "stream", **PATIENT, **PROMPT}
+            call = asyncio.create_task(running.request(target="/a/x", headers=headers))
+            await wait_until(lambda: running.engine.exchanges)
+            took_s = await seconds_to_end(running)
+            assert (await call).complete
+            lines = {line["message_type"]: line for line in log_lines(running)}
+            assert lines["stopping"]["requests"] == ["stream"]
+            assert lines["stopped"]["ends"] == {"delivered": 1}
+            assert lines["stopped"]["left"] == 0
+            assert 0 < lines["stopped"]["took_s"] <= lines["exiting"]["took_s"] < took_s
+            assert lines["exiting"]["failed"] == []
+            assert lines["exiting"]["lines_dropped"] == 0
+
+    asyncio.run(scenario())
