Take no stream of unknown length during a planned stop

Cause: without answers of a route since its start, the target stood in for its length; for streams that is the time to the first event. Also, one mean deviation beyond the mean leaves out one fifth of normally distributed times. Change: during a stop a stream of a route without known answers is refused at once unless its deadline is within the grace, and a call has to fit with two mean deviations. For callers a refusal (not run, Retry-After) costs one more send, a cut the whole stream. Plain calls keep the target as their estimate.

Ruled out: estimating from the tokens asked for, as callers state an upper bound.

--- a/src/endivelug/forwarding/planned_stop.py
+++ b/src/endivelug/forwarding/planned_stop.py
@@ -21,6 +21,10 @@
 # Time before that in which the calls that are still in progress get their answers.
 FINAL_ANSWERS_S = 0.2
 CHECK_INTERVAL_S = 0.05
+# Mean deviations beyond the mean within which a call counts as answered; two cover 95%
+# of times that are normally distributed. A refused call costs a caller one more send,
+# one that is cut off all that it waited for.
+DEVIATIONS = 2.0
 # Time that heads which have begun to arrive get to arrive whole and be refused.
 HEAD_ARRIVAL_S = 1.0
 # Requests in progress that the first line of a stop names, and the part of each id.
@@ -59,7 +63,7 @@
     >>> times = StopTimes()
     >>> times.record_delivered("r", 2.0)
     >>> times.expected_s("r", default=0.5), times.expected_s("other", default=0.5)
-    (3.0, 0.5)
+    (4.0, 0.5)
     """
 
     calls_end_at: float = float("inf")
@@ -71,16 +75,21 @@
         self.answer_times.setdefault(route, AnswerTime()).observe(seconds)
 
     def expected_s(self, route: str, *, default: float) -> float:
-        """Return the time in which most calls of a route have been answered."""
+        """Return the time in which nearly all calls of a route have been answered."""
         known = self.answer_times.get(route)
-        return default if known is None else known.mean_s + known.deviation_s
+        if known is None:
+            return default
+        return known.mean_s + DEVIATIONS * known.deviation_s
 
     def fits(self, call: Call, *, now: float) -> bool:
         """Return whether a call that begins now ends before this VM stops."""
         if call.deadline <= self.calls_end_at:
             return True
         route = call.route
-        expected_s = self.expected_s(route.name, default=route.target_s)
+        # The target of a stream is the time to its first event and says nothing about
+        # its end. Another VM may know more about the route, or is not stopping.
+        unknown_s = float("inf") if route.streaming else route.target_s
+        expected_s = self.expected_s(route.name, default=unknown_s)
         return now + expected_s <= self.calls_end_at
 
 
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -117,6 +117,30 @@
     asyncio.run(scenario())
 
 
+# Guards against taking a stream whose route this VM knows nothing about, because it has
+# just been restarted: the target is the time to the first event, not to the end.
+def test_a_stream_of_an_unknown_length_is_refused_in_a_stop(tmp_path):
+    async def scenario():
+        async with running_process(tmp_path, **LONG) as running:
+
+            async def stream(exchange):
+                await exchange.start_stream()
+                await asyncio.sleep(GRACE_S)
+                await exchange.end_stream()
+
+            running.engine.script = stream
+            await begin_stop(running)
+            headers = {"X-Request-Id": "stream", **PATIENT, **PROMPT}
+            response = await running.request(target="/a/x", headers=headers)
+            assert (response.status, response.complete) == (503, True)
+            assert float(response.headers["retry-after"]) > 0
+            assert json.loads(response.body)["run"] == "not-run"
+            assert running.engine.exchanges == []
+            assert await end_of(running) == 0
+
+    asyncio.run(scenario())
+
+
 # Guards against taking requests for longer than the notice because the order lease is
 # given back at a store that does not answer. Requests that come 3 s after SIGTERM have
 # to be ended by the process that took them.
