Refuse waiting requests in a stop once they no longer fit

Cause: whether a request fits into the rest of the stop was asked when it came and when it was placed, not while it waited. Change: the stop asks every 50 ms, and refuses at once (not run, Retry-After). Requests that may have run once go on as before.

--- a/src/endivelug/forwarding/dispatcher.py
+++ b/src/endivelug/forwarding/dispatcher.py
@@ -114,6 +114,13 @@
             if not self.waiters:
                 self._has_waiters.clear()
 
+    def refuse_waiting(self, refuse: Callable[[Call], NoPlacement | None]) -> None:
+        """End the wait of the calls for which a function returns a refusal."""
+        for waiter in self.waiters.values():
+            refusal = None if waiter.future.done() else refuse(waiter.call)
+            if refusal is not None:
+                waiter.future.set_result(refusal)
+
     def queue_length(self, service: str) -> int:
         """Return the number of calls that wait for a service."""
         return self.queue.count(service)
--- a/src/endivelug/forwarding/forwarder.py
+++ b/src/endivelug/forwarding/forwarder.py
@@ -124,6 +124,12 @@
         """Refuse new requests."""
         self.closed = True
 
+    def refuse_late(self) -> None:
+        """Refuse the waiting calls that would not end before this VM stops."""
+        self.dispatcher.refuse_waiting(
+            lambda call: None if self._may_begin(call) else Stopping()
+        )
+
     async def handle(
         self, method: str, target: str, headers: Headers, body: bytes, writer: Writer
     ) -> None:
--- a/src/endivelug/forwarding/planned_stop.py
+++ b/src/endivelug/forwarding/planned_stop.py
@@ -103,6 +103,9 @@
     def close(self) -> None:
         """Refuse the requests that come on open connections."""
 
+    def refuse_late(self) -> None:
+        """Refuse the waiting calls that would not end before this VM stops."""
+
 
 class PlannedStop:
     """Refuses and ends the requests of a VM within its grace period."""
@@ -129,7 +132,10 @@
         server.begin_closing()
         self._log_begin(end_at)
         self.times.calls_end_at = end_at - FINAL_ANSWERS_S
-        await asyncio.sleep(READINESS_NOTICE_S)
+        notice_until = self.clock() + READINESS_NOTICE_S
+        while (left_s := notice_until - self.clock()) > 0:
+            self.forwarder.refuse_late()
+            await asyncio.sleep(min(left_s, CHECK_INTERVAL_S))
         # The only VM of a data centre gets new connections until it refuses them.
         server.stop_accepting()
         self.forwarder.close()
@@ -138,6 +144,7 @@
         # Connections may be open without a task: their requests are arriving, or their
         # callers have not read the end of an answer.
         while self.clock() < self.times.calls_end_at and server.connections:
+            self.forwarder.refuse_late()
             # Requests on connections that were just accepted get time to arrive.
             await asyncio.sleep(CHECK_INTERVAL_S)
             server.close_idle(with_begun=self.clock() >= heads_until)
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -141,6 +141,39 @@
     asyncio.run(scenario())
 
 
+# Guards against requests that wait until the end of a stop for an upstream, although
+# they cannot be sent any more: another VM would have answered them meanwhile.
+def test_a_waiting_request_is_refused_once_it_no_longer_fits(tmp_path):
+    async def scenario():
+        async with running_process(tmp_path, slots=1, **LONG) as running:
+
+            async def script(exchange):
+                first = exchange.id == "first"
+                await asyncio.sleep(1.0 if first else ANSWER_TIMEOUT_S)
+                await exchange.respond()
+
+            def call(request_id):
+                headers = {"X-Request-Id": request_id, **PATIENT}
+                coroutine = running.request(target="/a/orders/1", headers=headers)
+                return asyncio.create_task(coroutine)
+
+            running.desk.script = script
+            assert (await call("first")).status == 200
+            before = len(running.desk.exchanges)
+            sent = [call("sent1"), call("sent2")]
+            await wait_until(lambda: len(running.desk.exchanges) == before + 2)
+            waiting = call("waiting")
+            await begin_stop(running)
+            async with asyncio.timeout(GRACE_S / 2):
+                refused = await waiting
+            assert refused.status == 503
+            assert json.loads(refused.body)["run"] == "not-run"
+            assert [(await response).status for response in sent] == [502, 502]
+            assert await end_of(running) == 0
+
+    asyncio.run(scenario())
+
+
 # Guards against taking requests for longer than the notice because the order lease is
 # given back at a store that does not answer. Requests that come 3 s after SIGTERM have
 # to be ended by the process that took them.
