Let callers use a connection for 1 s after an answer in a stop

Cause: idle connections were closed within 50 ms of the answer, so that a request crossed the close. Change: a connection is closed in a stop once no request has begun on it for 1 s; a request that comes before is refused with 503 and `Connection: close`. Connections that have been idle for longer are closed at once as before.

Requests that a caller sends later than that may still cross the close.

--- a/src/endivelug/forwarding/buffers/idle_connections.py
+++ b/src/endivelug/forwarding/buffers/idle_connections.py
@@ -12,6 +12,9 @@
 
 # Interval in which heads are looked at; each look costs a little for each connection.
 HEAD_CHECK_INTERVAL_S = 1.0
+# A caller that keeps a connection often sends its next request within this time after
+# an answer. It would cross the close, while it can be refused in order.
+REUSE_S = 1.0
 
 
 class IdleConnections:
@@ -21,6 +24,11 @@
     ----------
     header_timeout_s : callable
         Returns the time for a head from its first byte.
+
+    Attributes
+    ----------
+    readers : dict of RequestReader to float
+        Since when each reader waits.
     """
 
     def __init__(
@@ -28,7 +36,7 @@
     ) -> None:
         self.guard = guard
         self.header_timeout_s = header_timeout_s
-        self.readers: dict[RequestReader, None] = {}
+        self.readers: dict[RequestReader, float] = {}
         self._next_check_at = 0.0
 
     def __len__(self) -> int:
@@ -37,15 +45,26 @@
 
     def add(self, reader: RequestReader) -> None:
         """Add a connection that waits for a request."""
-        self.readers[reader] = None
+        self.readers[reader] = self.guard.clock()
 
     def discard(self, reader: RequestReader) -> None:
         """Remove a connection whose request has begun, or that has closed."""
         self.readers.pop(reader, None)
 
-    def quiet(self) -> list[RequestReader]:
-        """Return the readers of connections on which nothing has arrived."""
-        waiting = [item for item in self.readers if not item.buffered_bytes]
+    def quiet(self, *, with_begun: bool) -> list[RequestReader]:
+        """Return the readers of connections on which nothing arrives any more.
+
+        Parameters
+        ----------
+        with_begun : bool
+            Whether to include those on which a part of a head has arrived.
+        """
+        last = self.guard.clock() - REUSE_S
+        waiting = [
+            item
+            for item, since in self.readers.items()
+            if since <= last and (with_begun or not item.buffered_bytes)
+        ]
         # The event loop may not have read yet what the kernel has received.
         unread = set(unread_connections(item.connection for item in waiting))
         return [item for item in waiting if item.connection not in unread]
--- a/src/endivelug/forwarding/front_server.py
+++ b/src/endivelug/forwarding/front_server.py
@@ -191,8 +191,7 @@
         with_begun : bool
             Whether to close also those on which a part of a head has arrived.
         """
-        readers = list(self.idle.readers) if with_begun else self.idle.quiet()
-        for reader in readers:
+        for reader in self.idle.quiet(with_begun=with_begun):
             self.idle.discard(reader)
             self.closer.close(reader.connection.stream)
 
--- a/src/endivelug/forwarding/planned_stop.py
+++ b/src/endivelug/forwarding/planned_stop.py
@@ -145,7 +145,6 @@
         # callers have not read the end of an answer.
         while self.clock() < self.times.calls_end_at and server.connections:
             self.forwarder.refuse_late()
-            # Requests on connections that were just accepted get time to arrive.
             await asyncio.sleep(CHECK_INTERVAL_S)
             server.close_idle(with_begun=self.clock() >= heads_until)
         left, connections = len(server.tasks), server.connections
