Forget connections that end without a request

The memory of a router grew with each connection that had come and gone, the bound on connections did not hold, and a stop looked at all of them every 50 ms (S3).

Cause: tornado tells the end of a connection only to a reader whose head has come, and its server does not pass `on_close` on. Readers that waited for a head stayed in the list of idle connections, and closing the oldest of these made no room. Change: the server passes the end of a connection on, and its reader is discarded.

--- a/src/endivelug/forwarding/front_server.py
+++ b/src/endivelug/forwarding/front_server.py
@@ -32,6 +32,20 @@
 MAX_HEADER_BYTES = 64 * 1024
 
 
+class ConnectionServer(HTTPServer):
+    """Server that also tells its delegate of connections that have ended.
+
+    Tornado tells only the reader of a request whose head has come.
+    """
+
+    def on_close(self, server_conn: object) -> None:
+        """Forget a connection, and pass its end on."""
+        super().on_close(server_conn)
+        delegate = self.request_callback
+        assert isinstance(delegate, HTTPServerConnectionDelegate)
+        delegate.on_close(server_conn)
+
+
 Handler = Callable[[str, str, Headers, bytes, Writer], Awaitable[None]]
 
 
@@ -89,9 +103,10 @@
         self._streams: set[IOStream] = set()
         self.idle = IdleConnections(guard=guard, header_timeout_s=header_timeout_s)
         self.arriving: dict[RequestReader, None] = {}
+        self._readers: dict[object, RequestReader] = {}
         self.closer = LingeringCloser(clock=guard.clock)
         self._announced: set[IOStream] = set()
-        self.server = HTTPServer(
+        self.server = ConnectionServer(
             self,
             idle_connection_timeout=IDLE_TIMEOUT_S,
             body_timeout=IDLE_TIMEOUT_S,
@@ -119,6 +134,7 @@
             on_complete=self._begin,
         )
         self.idle.add(reader)
+        self._readers[server_conn] = reader
         stream = reader.connection.stream
         if stream in self._announced:
             # The caller was told that no further request is read here.
@@ -127,7 +143,10 @@
         return reader
 
     def on_close(self, server_conn: object) -> None:
-        """Ignore the end of a connection; each request has its own close callback."""
+        """Forget the reader of a connection that has ended."""
+        reader = self._readers.pop(server_conn, None)
+        if reader is not None:
+            self._discard(reader)
 
     async def watch_callers(self) -> None:
         """Cancel the requests whose callers have left, until cancelled itself."""
--- a/tests/test_arrivals_in_stops.py
+++ b/tests/test_arrivals_in_stops.py
@@ -164,6 +164,42 @@
     asyncio.run(scenario())
 
 
+# Guards against keeping something of each connection that has ended: the stop would
+# look at all of them, and a bound on connections would count on closing them.
+def test_connections_that_have_ended_are_forgotten():
+    async def scenario():
+        async with running_server() as (server, address):
+            for number in range(CONNECTIONS):
+                reader, writer = await asyncio.open_connection(*address)
+                # Some callers send nothing or a part of a head.
+                writer.write(REQUEST[: len(REQUEST) if number % 3 else number % 2])
+                if number % 3:
+                    assert (await read_answer(reader)).complete
+                writer.close()
+            await wait_until(lambda: server.connections == 0)
+            await wait_until(lambda: len(server.idle) == 0)
+            assert not server.arriving
+
+    asyncio.run(scenario())
+
+
+# Guards against a bound on connections that does not hold once connections have ended.
+def test_the_bound_of_connections_holds_after_others_have_ended():
+    async def scenario():
+        async with running_server() as (server, address):
+            server.max_connections = lambda: 10
+            for _ in range(CONNECTIONS):
+                _, writer = await asyncio.open_connection(*address)
+                writer.close()
+            callers = [await asyncio.open_connection(*address) for _ in range(40)]
+            await asyncio.sleep(0.3)
+            assert server.connections <= 10
+            for _, writer in callers:
+                writer.close()
+
+    asyncio.run(scenario())
+
+
 # Guards against a listener that does not close because there is no room for what waits.
 def test_a_listener_without_room_closes():
     async def scenario():
