Let callers that ask for a close read their answers

A byte that comes later, for example a line end behind the request, makes the kernel reset the connection. Change: the answer announces the close, and the connection is closed as at a stop: for sending first, then once the caller has closed it or has received everything and 1 s has passed; at most after 30 s.

Open: a malformed or too long head behind an answer that is not read still closes at once.

--- a/src/endivelug/forwarding/buffers/lingering_close.py
+++ b/src/endivelug/forwarding/buffers/lingering_close.py
@@ -18,6 +18,8 @@
 
 # Time that a peer which has everything gets to close its side.
 LINGER_S = 1.0
+# Time that a peer which reads slowly gets.
+MAX_LINGER_S = 30.0
 DROP_BYTES = 64 * 1024
 
 
@@ -71,10 +73,11 @@
             sock.setblocking(False)
             sock.shutdown(socket.SHUT_WR)
             linger_until = self.clock() + LINGER_S
+            read_until = self.clock() + MAX_LINGER_S
             while True:
                 now = self.clock()
                 late = now >= linger_until and _unacknowledged_bytes(sock) == 0
-                if late or now >= self.until:
+                if late or now >= min(self.until, read_until):
                     return
                 try:
                     async with asyncio.timeout(LINGER_S):
--- a/src/endivelug/forwarding/buffers/request_reader.py
+++ b/src/endivelug/forwarding/buffers/request_reader.py
@@ -173,6 +173,17 @@
         self.release()
         self.connection.close()
 
+    def take_over_close(self) -> bool:
+        """Return whether the caller asked for the close, and keep tornado from it.
+
+        Tornado closes the socket at once, so that a late byte would reset it.
+        """
+        connection: Any = self.connection
+        # Tornado has no public name for this.
+        asked = bool(connection._disconnect_on_finish)
+        connection._disconnect_on_finish = False
+        return asked
+
     def take_body(self) -> bytes:
         """Return the complete body; its charge stays until ``release``."""
         if self.body is not None:
--- a/src/endivelug/forwarding/front_server.py
+++ b/src/endivelug/forwarding/front_server.py
@@ -259,7 +259,7 @@
         self.arriving.pop(reader, None)
         writer = Writer(
             connection=reader.connection,
-            close_after=self.closing,
+            close_after=reader.take_over_close() or self.closing,
             guard=self.guard,
             on_close_announced=partial(self._announced.add, reader.connection.stream),
         )
--- a/tests/test_arrivals_in_stops.py
+++ b/tests/test_arrivals_in_stops.py
@@ -275,3 +275,31 @@
             partial.close()
 
     asyncio.run(scenario())
+
+
+# Guards against losing an answer of which the caller has asked for the close: tornado
+# closes the socket at once, and a line end behind the request resets it.
+def test_an_answer_before_a_close_that_the_caller_asked_for_survives_a_late_byte():
+    async def scenario():
+        async with running_server() as (server, address):
+            body = b"." * 1_500_000
+
+            async def respond(method, target, headers, received, writer):
+                await writer.start(200, "", [], body)
+
+            server.handler = respond
+            loop, caller = asyncio.get_running_loop(), socket.socket()
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 32 * 1024)
+            caller.setblocking(False)
+            await loop.sock_connect(caller, address)
+            closing = REQUEST.replace(b"Host: h", b"Host: h\r\nConnection: close")
+            await loop.sock_sendall(caller, closing)
+            await asyncio.sleep(0.3)
+            await loop.sock_sendall(caller, b"\r\n")
+            await asyncio.sleep(0.3)
+            reader, writer = await asyncio.open_connection(sock=caller)
+            response = await read_answer(reader)
+            writer.close()
+            assert len(response.body) == len(body)
+
+    asyncio.run(scenario())
