List the reset of an unread answer by a malformed head

Cause: tornado answers 400 and closes the socket itself; there is no place at which the router could close it later, other than the stream's own `close`.

--- a/tests/test_arrivals_in_stops.py
+++ b/tests/test_arrivals_in_stops.py
@@ -303,3 +303,31 @@
             assert len(response.body) == len(body)
 
     asyncio.run(scenario())
+
+
+# Guards against losing an answer that is not read yet because the next head on the
+# connection is malformed: tornado answers 400 and closes the socket at once.
+def test_an_unread_answer_survives_a_malformed_next_head():
+    async def scenario():
+        async with running_server() as (server, address):
+            body = b"." * 1_500_000
+
+            async def respond(method, target, headers, received, writer):
+                await writer.start(200, "", [], body)
+
+            server.handler = respond
+            loop, caller = asyncio.get_running_loop(), socket.socket()
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 32 * 1024)
+            caller.setblocking(False)
+            await loop.sock_connect(caller, address)
+            await loop.sock_sendall(caller, REQUEST)
+            await asyncio.sleep(0.3)
+            for data in (b"nonsense\r\n\r\n", b"more"):
+                await loop.sock_sendall(caller, data)
+                await asyncio.sleep(0.2)
+            reader, writer = await asyncio.open_connection(sock=caller)
+            response = await read_answer(reader)
+            writer.close()
+            assert len(response.body) == len(body)
+
+    asyncio.run(scenario())
