--- a/src/endivelug/forwarding/forwarder.py
+++ b/src/endivelug/forwarding/forwarder.py
@@ -28,12 +28,12 @@
 from endivelug.forwarding.crash_watch import CrashWatch
 from endivelug.forwarding.dispatcher import Dispatcher
 from endivelug.forwarding.error_responses import ErrorResponses
-from endivelug.forwarding.front_server import Writer
 from endivelug.forwarding.placement import Placement
 from endivelug.forwarding.planned_stop import Stopping, StopTimes
 from endivelug.forwarding.quotas.quota_gate import QuotaGate
 from endivelug.forwarding.refused_callers import RefusedCallers, request_digest
 from endivelug.forwarding.requests import InboundRequest, WireFormat
+from endivelug.forwarding.response_writer import Writer
 from endivelug.forwarding.retry_budget import SharedRetryBudget
 from endivelug.forwarding.stream_recovery import StreamRecovery
 from endivelug.forwarding.upstream_connection import Headers
@@ -67,6 +67,8 @@
         Whether new requests are refused because this VM is stopping.
     stop_times : StopTimes
         When the calls in progress have to end, if this VM is stopping.
+    calls : dict of str to Call
+        Calls in progress, by their keys.
     """
 
     def __init__(
@@ -107,6 +109,7 @@
         self.on_ended = on_ended
         self.closed = False
         self.stop_times = StopTimes()
+        self.calls: dict[str, Call] = {}
         self.admission = Admission(
             wire=wire,
             view=view,
@@ -121,6 +124,12 @@
         """Refuse new requests."""
         self.closed = True
 
+    def refuse_late(self) -> None:
+        """Refuse the waiting calls that would not end before this VM stops."""
+        self.dispatcher.refuse_waiting(
+            lambda call: None if self._may_begin(call) else Stopping()
+        )
+
     async def handle(
         self, method: str, target: str, headers: Headers, body: bytes, writer: Writer
     ) -> None:
@@ -151,6 +160,7 @@
             return
         self.budget.record_request(call.service, now=now)
         self.recorder.metrics.record_request(call)
+        self.calls[call.key] = call
         try:
             await self._serve(call, writer)
         except CallerLeft:
@@ -163,6 +173,7 @@
         except Exception as error:
             await self.errors.fail_unforeseen(call, writer, error)
         finally:
+            del self.calls[call.key]
             self.quotas.end(call)
             if call.retry is not None:
                 self.budget.release(call.retry)
--- a/src/endivelug/forwarding/front_server.py
+++ b/src/endivelug/forwarding/front_server.py
@@ -2,19 +2,15 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from http import HTTPStatus
-from http.client import responses
-from typing import Any
+from functools import partial
 
 from tornado.httpserver import HTTPServer
 from tornado.httputil import (
     HTTPConnection,
-    HTTPHeaders,
     HTTPMessageDelegate,
     HTTPServerConnectionDelegate,
-    ResponseStartLine,
 )
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import IOStream
 
 from endivelug._caller_presence import CALLER_CHECK_INTERVAL_S, closed_connections
 from endivelug.exceptions import CallerLeft
@@ -23,9 +19,10 @@
 from endivelug.forwarding.buffers.head_check import HeadCheck
 from endivelug.forwarding.buffers.held_body import READ_BYTES
 from endivelug.forwarding.buffers.idle_connections import IdleConnections
-from endivelug.forwarding.buffers.request_reader import RequestReader, remote_address
-from endivelug.forwarding.buffers.unread_response import WRITE_BYTES, UnreadResponse
+from endivelug.forwarding.buffers.lingering_close import LingeringCloser
+from endivelug.forwarding.buffers.request_reader import RequestReader
 from endivelug.forwarding.cluster_view import MAX_LOGGED_REASON, LogLine
+from endivelug.forwarding.response_writer import Writer
 from endivelug.forwarding.upstream_connection import Headers
 
 # Longer than the idle time that the configuration grants to callers; the limit of file
@@ -35,120 +32,18 @@
 MAX_HEADER_BYTES = 64 * 1024
 
 
-class Writer:
-    """Writes the response to one request of a caller.
+class ConnectionServer(HTTPServer):
+    """Server that also tells its delegate of connections that have ended.
 
-    Parameters
-    ----------
-    guard : ClientGuard or None
-        Closes a caller that does not read; None if none is closed.
-
-    Attributes
-    ----------
-    close_after : bool
-        Whether the response asks the caller to close the connection.
-    disconnected : bool
-        Whether the caller closed the connection.
+    Tornado tells only the reader of a request whose head has come.
     """
 
-    def __init__(
-        self,
-        *,
-        connection: HTTPConnection,
-        close_after: bool,
-        guard: ClientGuard | None = None,
-    ) -> None:
-        self.connection = connection
-        self.close_after = close_after
-        self.guard = guard
-        self.unread: UnreadResponse | None = None
-        self.disconnected = False
-        self.head_sent = False
-
-    async def start(
-        self, status: int, reason: str, headers: Headers, body: bytes | None = None
-    ) -> None:
-        """Send the head; with a ``body``, send the complete response."""
-        fields = HTTPHeaders()
-        for name, value in headers:
-            fields.add(name, value)
-        if self.close_after:
-            fields["Connection"] = "close"
-        if body is not None:
-            fields["Content-Length"] = str(len(body))
-        line = ResponseStartLine("HTTP/1.1", status, reason or _default_reason(status))
-        first = (body or b"")[:WRITE_BYTES]
-        written = self.connection.write_headers(line, fields, first)
-        self.head_sent = True
-        await self._finish_write(written, len(first))
-        if body is not None:
-            for start in range(WRITE_BYTES, len(body), WRITE_BYTES):
-                await self.write(body[start : start + WRITE_BYTES])
-            self.connection.finish()
-
-    async def write(self, data: bytes) -> None:
-        """Send a chunk of the body."""
-        await self._finish_write(self.connection.write(data), len(data))
-
-    def check_connected(self) -> None:
-        """Look whether the caller has closed its connection.
-
-        The event loop learns of it only in one of its next turns, and a busy one much
-        later.
-
-        Raises
-        ------
-        CallerLeft
-            If the caller has closed the connection.
-        """
-        if self.disconnected or closed_connections([self.connection]):
-            raise CallerLeft("the caller closed the connection; drop the request")
-
-    def finish(self) -> None:
-        """End a complete response."""
-        if not self.disconnected:
-            self.connection.finish()
-
-    async def fail(self) -> None:
-        """End a response that a fault of the program keeps from being given."""
-        try:
-            if not self.head_sent:
-                await self.start(HTTPStatus.BAD_GATEWAY, "", [], b"")
-                return
-        except CallerLeft:
-            pass
-        self.abort()
-
-    def abort(self) -> None:
-        """Close the connection, so that the response does not look complete."""
-        stream: Any = getattr(self.connection, "stream", None)
-        if stream is not None:
-            stream.close()
-
-    def release(self) -> None:
-        """Return the memory that is charged for the response."""
-        if self.unread is not None:
-            self.unread.release()
-
-    async def _finish_write(self, written: asyncio.Future[None], count: int) -> None:
-        try:
-            if written.done() or self.guard is None:
-                await written
-                return
-            if self.unread is None:
-                self.unread = UnreadResponse(
-                    guard=self.guard,
-                    address=remote_address(self.connection),
-                    close=self.abort,
-                )
-            await self.unread.wait(written, count)
-        except StreamClosedError as error:
-            self.disconnected = True
-            raise CallerLeft("the connection is closed; drop the request") from error
-
-
-def _default_reason(status: int) -> str:
-    return responses.get(status, "Unknown")
+    def on_close(self, server_conn: object) -> None:
+        """Forget a connection, and pass its end on."""
+        super().on_close(server_conn)
+        delegate = self.request_callback
+        assert isinstance(delegate, HTTPServerConnectionDelegate)
+        delegate.on_close(server_conn)
 
 
 Handler = Callable[[str, str, Headers, bytes, Writer], Awaitable[None]]
@@ -173,13 +68,16 @@
     Attributes
     ----------
     closing : bool
-        Whether each response asks the caller to close the connection.
+        Whether each response asks the caller to close the connection, which is closed
+        after it.
     tasks : dict of Writer to asyncio.Task
         Requests in progress.
     left_total : int
         Callers that left while an answer was written that the handler does not log.
     idle : IdleConnections
         Readers of connections on which no request has begun.
+    arriving : dict of RequestReader to None
+        Readers of requests whose bodies are still being read.
     """
 
     def __init__(
@@ -204,7 +102,11 @@
         self.left_total = 0
         self._streams: set[IOStream] = set()
         self.idle = IdleConnections(guard=guard, header_timeout_s=header_timeout_s)
-        self.server = HTTPServer(
+        self.arriving: dict[RequestReader, None] = {}
+        self._readers: dict[object, RequestReader] = {}
+        self.closer = LingeringCloser(clock=guard.clock)
+        self._announced: set[IOStream] = set()
+        self.server = ConnectionServer(
             self,
             idle_connection_timeout=IDLE_TIMEOUT_S,
             body_timeout=IDLE_TIMEOUT_S,
@@ -227,14 +129,24 @@
             connection=request_conn,
             guard=self.guard,
             check_head=self.check_head,
-            on_begun=self.idle.discard,
+            on_begun=self._head_received,
+            on_closed=self._discard,
             on_complete=self._begin,
         )
         self.idle.add(reader)
+        self._readers[server_conn] = reader
+        stream = reader.connection.stream
+        if stream in self._announced:
+            # The caller was told that no further request is read here.
+            self._announced.discard(stream)
+            self.closer.close(stream)
         return reader
 
     def on_close(self, server_conn: object) -> None:
-        """Ignore the end of a connection; each request has its own close callback."""
+        """Forget the reader of a connection that has ended."""
+        reader = self._readers.pop(server_conn, None)
+        if reader is not None:
+            self._discard(reader)
 
     async def watch_callers(self) -> None:
         """Cancel the requests whose callers have left, until cancelled itself."""
@@ -253,13 +165,14 @@
     @property
     def max_open(self) -> int:
         """Largest number that ``connections`` can return now."""
-        return len(self._streams)
+        return len(self._streams) + len(self.closer)
 
     @property
     def connections(self) -> int:
         """Number of open connections."""
         self._streams = {item for item in self._streams if not item.closed()}
-        return len(self._streams)
+        self._announced &= self._streams
+        return len(self._streams) + len(self.closer)
 
     def listen(self, address: str) -> None:
         """Listen on an IP address and port."""
@@ -278,13 +191,48 @@
         if tasks:
             await asyncio.wait(tasks, timeout=timeout_s)
 
-    def close_idle(self) -> None:
-        """Close the connections on which no request has begun."""
-        self.idle.close_all()
+    def begin_closing(self) -> None:
+        """Announce in each response from now on that its connection is closed."""
+        self.closing = True
+        for writer in self.tasks:
+            writer.close_after = True
+
+    def refuse_arriving(self) -> None:
+        """Refuse the requests whose bodies are still being read."""
+        for reader in list(self.arriving):
+            reader.refuse("this VM is stopping")
+
+    def close_idle(self, *, with_begun: bool) -> None:
+        """Close the connections on which no request arrives.
 
-    async def close(self) -> None:
-        """Stop listening and close every connection."""
+        Parameters
+        ----------
+        with_begun : bool
+            Whether to close also those on which a part of a head has arrived.
+        """
+        for reader in self.idle.quiet(with_begun=with_begun):
+            self.idle.discard(reader)
+            self.closer.close(reader.connection.stream)
+
+    async def close(self, *, until: float = float("-inf")) -> None:
+        """Stop listening and close every connection.
+
+        Parameters
+        ----------
+        until : float
+            Time until which callers may read what was written to them.
+        """
         self.acceptor.stop()
+        self.closer.until = until
+        streams = [stream for stream in self._streams if not stream.closed()]
+        writing = [stream.write(b"") for stream in streams if stream.writing()]
+        if writing:
+            await asyncio.wait(writing, timeout=max(0.0, until - self.guard.clock()))
+        for stream in streams:
+            if not stream.writing():
+                self.closer.close(stream)
+            stream.close()
+        await self.closer.wait(until=until)
         await self.server.close_all_connections()
 
     def _accepted(self, stream: IOStream, address: tuple[str, int]) -> None:
@@ -298,10 +246,22 @@
             return True
         return self.idle.close_oldest() or self.guard.close_slowest()
 
+    def _head_received(self, reader: RequestReader) -> None:
+        self.idle.discard(reader)
+        self.arriving[reader] = None
+
+    def _discard(self, reader: RequestReader) -> None:
+        self.idle.discard(reader)
+        self.arriving.pop(reader, None)
+
     def _begin(self, reader: RequestReader) -> None:
         """Start the handler of a complete request in a separate task."""
+        self.arriving.pop(reader, None)
         writer = Writer(
-            connection=reader.connection, close_after=self.closing, guard=self.guard
+            connection=reader.connection,
+            close_after=reader.take_over_close() or self.closing,
+            guard=self.guard,
+            on_close_announced=partial(self._announced.add, reader.connection.stream),
         )
         task = asyncio.get_running_loop().create_task(self._handle(reader, writer))
         tasks = self.tasks
--- a/src/endivelug/forwarding/node.py
+++ b/src/endivelug/forwarding/node.py
@@ -29,6 +29,7 @@
 from endivelug.forwarding.node_gauges import register_gauges
 from endivelug.forwarding.node_metrics import NodeMetrics
 from endivelug.forwarding.node_settings import NodeSettings
+from endivelug.forwarding.node_shutdown import shut_down
 from endivelug.forwarding.order_lease import (
     CLOCK_BOUND_S,
     LEASE_RENEW_S,
@@ -37,7 +38,7 @@
 from endivelug.forwarding.peer_messages import NoticeKind
 from endivelug.forwarding.peers import Peers
 from endivelug.forwarding.placement import OLD_WEIGHTS_MARGIN_S, Placer
-from endivelug.forwarding.planned_stop import SHUTDOWN_MARGIN_S, PlannedStop
+from endivelug.forwarding.planned_stop import PlannedStop
 from endivelug.forwarding.process_pauses import ProcessPauses
 from endivelug.forwarding.quotas.quota_gate import make_quota_gate
 from endivelug.forwarding.refused_callers import RefusedCallers
@@ -46,6 +47,7 @@
 from endivelug.forwarding.silence_watch import SilenceWatch
 from endivelug.forwarding.state_sync import StateSync
 from endivelug.forwarding.status_pages import StatusPages
+from endivelug.forwarding.stop_signal import StopSignal
 from endivelug.forwarding.stream_recovery import StreamRecovery
 from endivelug.forwarding.vm_join import VmJoin
 from endivelug.forwarding.vm_rows import VmRows
@@ -220,8 +222,7 @@
         )
         self.stop = PlannedStop(
             front_server=self.front_server,
-            times=self.forwarder.stop_times,
-            refuse_requests=self.forwarder.close,
+            forwarder=self.forwarder,
             clock=self.clock,
             log=log,
         )
@@ -312,9 +313,15 @@
         """Serve until SIGTERM or SIGINT."""
         stop = asyncio.Event()
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
+        with StopSignal(
+            clock=self.clock, notify=lambda: loop.call_soon_threadsafe(stop.set)
+        ) as received:
+            self._start()
+            await stop.wait()
+            await shut_down(self, signalled_at=received.at)
+
+    def _start(self) -> None:
         self._listen()
         self.log("started", data_centre=self.settings.data_centre)
         self.budget.assume_predecessor(now=self.clock())
@@ -335,8 +342,6 @@
             self.front_server.watch_callers,
         ):
             self.jobs.start(job)
-        await stop.wait()
-        await self._shut_down()
 
     def _listen(self) -> None:
         self.status_pages.listen(
@@ -379,21 +384,3 @@
         self.pool.close_idle(instance.address)
         if not self.view.loads.of(instance.name).work:
             self.view.loads.forget(instance.name)
-
-    async def _shut_down(self) -> None:
-        """Release the order lease, finish the requests in progress and close."""
-        end_at = self.clock() + self.settings.grace_s - SHUTDOWN_MARGIN_S
-        self.stopping = self.orders.stopping = True
-        # Cancelled with the other jobs if the store does not answer.
-        self.jobs.start(self.lease_keeper.resign)
-        await self.stop.run(end_at=end_at)
-        await self._close()
-
-    async def _close(self) -> None:
-        await self.jobs.cancel()
-        await self.peers.close()
-        await self.orders.close()
-        await self.front_server.close()
-        await self.status_pages.close()
-        self.pool.close()
-        self.log.flush()
