Name the era of the store beside its versions

Cause: the store may come back from an older copy and gives out its versions again. Nothing told a version of the time before from one of the time after. Change: StoreVersion orders versions by era and number. Rows, pages, results and conditions of writes name their era, which the store's client reads from each answer. A conditional write that is answered from another era than that of its condition has an unknown outcome; a read whose pages are of two eras begins again. StoreEras keeps the newest era and tells who has to know. The stand-in of the store moves to a module of its own and can be restored from a copy. Evidence: the new tests of tests/test_platform_store.py.

--- a/src/endivelug/forwarding/cluster_view.py
+++ b/src/endivelug/forwarding/cluster_view.py
@@ -6,9 +6,9 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from endivelug import _rendezvous
+from endivelug.forwarding.cached_rows import CachedRow
 from endivelug.forwarding.desired_weights import AnnouncedVersion, DesiredWeights
 from endivelug.forwarding.instance_load import InstanceLoads
 from endivelug.forwarding.instances import Instance, InstanceRegistry
@@ -29,6 +29,7 @@
 )
 from endivelug.forwarding.routes import CacheStore, RoutingConfiguration
 from endivelug.forwarding.row_store import RowPage, StoredRow
+from endivelug.forwarding.store_eras import StoreEras
 
 LogLine = Callable[..., None]
 
@@ -40,21 +41,6 @@
     """Stand for a callback that nobody has set."""
 
 
-@dataclass(slots=True, kw_only=True)
-class CachedRow:
-    """A row with its decoded record.
-
-    Attributes
-    ----------
-    changed : int
-        Version of the row's last change other than a heartbeat.
-    """
-
-    row: StoredRow
-    record: Record
-    changed: int
-
-
 class ClusterView:
     """State from which the routing decisions are made.
 
@@ -95,6 +81,7 @@
         self.configuration: RoutingConfiguration | None = None
         self.desired_weights: dict[str, DesiredWeights] = {}
         self.registry = InstanceRegistry()
+        self.eras = StoreEras(clock=clock)
         self.loads = InstanceLoads()
         self.caches = PromptCaches()
         self.observed: dict[tuple[tuple[str, int], str], int] = {}
--- a/src/endivelug/forwarding/state_sync.py
+++ b/src/endivelug/forwarding/state_sync.py
@@ -46,6 +46,7 @@
         self.rng = rng
         self.log = log
         self.lost_since: dict[str, float] = {}
+        store.on_answer = view.eras.observe
 
     @property
     def connected(self) -> bool:
--- a/src/endivelug/platform/store.py
+++ b/src/endivelug/platform/store.py
@@ -2,6 +2,8 @@
 
 import base64
 import json
+from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 from urllib.parse import urlencode
 
@@ -17,6 +19,7 @@
     RowPage,
     RowWrite,
     StoredRow,
+    StoreVersion,
     WriteResult,
 )
 from endivelug.forwarding.upstream_connection import RequestHead
@@ -26,6 +29,12 @@
 NOT_EXECUTED = (403, 429, 503)
 # Largest number of rows in one response to a read.
 PAGE_ROWS = 500
+# Header of all answers, with a number that rises each time the store comes back from an
+# older copy; a store that is never restored does not send it.
+ERA_HEADER = "store-era"
+MAX_ERA_DIGITS = 15
+# Reads of a table that may be broken off by a restoration between two of their pages.
+MAX_READS = 3
 
 
 class PlatformStore:
@@ -42,6 +51,8 @@
     ----------
     calls : int
         Number of calls since the start.
+    on_answer : callable
+        Called with the era that an answer names, for each answer.
     """
 
     def __init__(
@@ -51,28 +62,39 @@
         self.pool = pool
         self.timeout_s = timeout_s
         self.calls = 0
+        self.on_answer: Callable[[int], None] = _ignore_era
 
     async def read(self, table: str, *, first: str = "", last: str = "") -> RowPage:
         """Read all pages of the rows of a table with ``first <= key < last``."""
+        for _ in range(MAX_READS):
+            page = await self._read_pages(table, first, last)
+            if page is not None:
+                return page
+        raise TableUnavailable(
+            f"the store was restored during {MAX_READS} reads; retry later"
+        )
+
+    async def _read_pages(self, table: str, first: str, last: str) -> RowPage | None:
+        """Return the rows of all pages; None if the pages are of two eras."""
         rows: list[StoredRow] = []
-        version: int | None = None
+        start: StoreVersion | None = None
         while True:
             query = {"table": table, "part": "", "limit": str(PAGE_ROWS)}
             if first:
                 query["from"] = first
             if last:
                 query["to"] = last
-            document, page = await self._get(
-                "/rows-get", query, timeout_s=self.timeout_s
-            )
-            rows.extend(page)
-            if version is None:
+            answer = await self._get("/rows-get", query, timeout_s=self.timeout_s)
+            rows.extend(answer.rows)
+            if start is None:
                 # The feed starts at the first page's version, so that it repeats the
                 # changes made while later pages are read.
-                version = int(document["ver"])
-            if not document.get("hasMore") or not page:
-                return RowPage(rows=rows, version=version)
-            first = page[-1].key + "\0"
+                start = answer.version
+            if answer.version.era != start.era:
+                return None
+            if not answer.has_more or not answer.rows:
+                return RowPage(rows=rows, version=start.number, era=start.era)
+            first = answer.rows[-1].key + "\0"
 
     async def changes(self, table: str, *, after: int, wait_s: float) -> RowPage:
         """Return changes after a version; wait up to ``wait_s`` for the first one."""
@@ -82,8 +104,9 @@
             "waitMs": str(int(wait_s * 1000)),
         }
         timeout_s = wait_s + self.timeout_s
-        document, rows = await self._get("/rows-feed", query, timeout_s=timeout_s)
-        return RowPage(rows=rows, version=int(document["ver"]))
+        answer = await self._get("/rows-feed", query, timeout_s=timeout_s)
+        version = answer.version
+        return RowPage(rows=answer.rows, version=version.number, era=version.era)
 
     async def write(self, writes: list[RowWrite]) -> WriteResult:
         """Write rows in one transaction."""
@@ -101,20 +124,29 @@
         }
         response = await self._call("POST", "/rows-tx", json.dumps(body).encode())
         document = _document(response)
+        era = _era_of_answer(response)
+        _check_conditions(writes, era)
         if response.head.status == 412:
-            rows = [row for write in writes for row in _rows(document, write.table)]
-            return WriteResult(done=False, version=0, rows=rows)
-        return WriteResult(done=True, version=int(document["ver"]))
+            rows = [
+                row for write in writes for row in _rows(document, write.table, era)
+            ]
+            return WriteResult(done=False, version=0, rows=rows, era=era)
+        return WriteResult(done=True, version=int(document["ver"]), era=era)
 
     async def _get(
         self, path: str, query: dict[str, str], *, timeout_s: float
-    ) -> tuple[dict[str, Any], list[StoredRow]]:
-        """Return the answer to a read of a table, and the rows in it."""
+    ) -> "_TableAnswer":
+        """Return the answer to a read of a table."""
         target = f"{path}?{urlencode(query)}"
         try:
             response = await self._call("GET", target, b"", timeout_s=timeout_s)
             document = _document(response)
-            return document, _rows(document, query["table"])
+            era = _era_of_answer(response)
+            return _TableAnswer(
+                rows=_rows(document, query["table"], era),
+                version=StoreVersion(era=era, number=int(document["ver"])),
+                has_more=bool(document.get("hasMore")),
+            )
         except TableOutcomeUnknown as error:
             # A read changes nothing, so it can be retried like one that was not sent.
             raise TableUnavailable(str(error)) from error
@@ -141,6 +173,9 @@
             raise TableOutcomeUnknown(
                 f"the store's response was lost: {error}"
             ) from error
+        era = _era(response)
+        if era is not None:
+            self.on_answer(era)
         status = response.head.status
         if status in NOT_EXECUTED:
             raise TableUnavailable(f"the store returned status {status}; retry later")
@@ -155,6 +190,46 @@
         return response
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class _TableAnswer:
+    """Answer to a read or a feed; ``has_more`` if other pages follow."""
+
+    rows: list[StoredRow]
+    version: StoreVersion
+    has_more: bool
+
+
+def _ignore_era(era: int) -> None:
+    """Stand for a callback that nobody has set."""
+
+
+def _era(response: BufferedResponse) -> int | None:
+    """Return the era that an answer names; None if its header is malformed."""
+    text = response.head.get(ERA_HEADER)
+    if text is None:
+        return 0
+    usable = text.isascii() and text.isdecimal() and len(text) <= MAX_ERA_DIGITS
+    return int(text) if usable else None
+
+
+def _era_of_answer(response: BufferedResponse) -> int:
+    era = _era(response)
+    if era is None:
+        raise TableOutcomeUnknown(
+            "the store's response has a malformed era; read the rows back"
+        )
+    return era
+
+
+def _check_conditions(writes: list[RowWrite], era: int) -> None:
+    """Raise if an answer is not of the era of the conditions that it decided."""
+    if any(write.expected_era not in (None, era) for write in writes):
+        raise TableOutcomeUnknown(
+            "the store was restored and may have given out the expected version again; "
+            "read the rows back"
+        )
+
+
 def _row_key(write: RowWrite) -> dict[str, str]:
     return {"table": write.table, "part": "", "key": write.key}
 
@@ -173,11 +248,11 @@
     return document
 
 
-def _rows(document: dict[str, Any], table: str) -> list[StoredRow]:
+def _rows(document: dict[str, Any], table: str, era: int) -> list[StoredRow]:
     items = document.get("rows", [])
     if not isinstance(items, list):
         raise TableOutcomeUnknown("the store's rows are no list; read them back")
-    return [_row(item) for item in items if _is_row(item, table)]
+    return [_row(item, era) for item in items if _is_row(item, table)]
 
 
 def _is_row(item: Any, table: str) -> bool:
@@ -189,7 +264,7 @@
     )
 
 
-def _row(item: dict[str, Any]) -> StoredRow:
+def _row(item: dict[str, Any], era: int) -> StoredRow:
     try:
         value = base64.b64decode(item.get("value") or "", validate=True)
     except (ValueError, TypeError):
@@ -202,4 +277,5 @@
         value=value,
         version=item["ver"],
         removed=bool(item.get("tombstone")),
+        era=era,
     )
--- a/tests/linked_nodes.py
+++ b/tests/linked_nodes.py
@@ -11,8 +11,9 @@
     configuration_document,
     registration_document,
 )
-from platform_standins import request, running_store, running_upstream
+from platform_standins import request, running_upstream
 from router_process import KEY, make_settings, wait_until
+from store_standin import running_store
 
 
 class LinkedNodes:
--- a/tests/misbehaving_clients.py
+++ b/tests/misbehaving_clients.py
@@ -10,8 +10,9 @@
 from measurements._ports import free_port
 
 from forwarding_builders import configuration_document, registration_document
-from platform_standins import request, running_store, running_upstream
+from platform_standins import request, running_upstream
 from soak.routers import BOUNDS
+from store_standin import running_store
 
 KEY = {"X-Credential": "k1"}
 MEMORY_MB = 128
--- a/tests/router_process.py
+++ b/tests/router_process.py
@@ -16,7 +16,8 @@
     configuration_document,
     registration_document,
 )
-from platform_standins import request, running_store, running_upstream
+from platform_standins import request, running_upstream
+from store_standin import running_store
 
 KEY = {"X-Credential": "k1"}
 PROMPT = {"X-Model": "m", "X-Token-Usage": "60,5", "X-Prompt-Prefix": "aa:40,bb:20"}
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -8,7 +8,8 @@
 from collections.abc import Awaitable, Callable
 from weakref import WeakKeyDictionary
 
-from platform_standins import Exchange, StoreStandIn, UpstreamStandIn, response_bytes
+from platform_standins import Exchange, UpstreamStandIn, response_bytes
+from store_standin import StoreStandIn
 
 from .answering import FAILURE_BODY, Answering
 from .proxy import Proxy
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from forwarding_builders import configuration_document
-from platform_standins import StoreStandIn, running_store
+from store_standin import StoreStandIn, running_store
 
 from .callers import Callers
 from .promises import Disturbances, KeyPeriod, RequestQuota
--- a/tests/test_forwarding_path.py
+++ b/tests/test_forwarding_path.py
@@ -13,7 +13,7 @@
     configuration_document,
     registration_document,
 )
-from platform_standins import request, running_store
+from platform_standins import request
 from router_process import (
     KEY,
     PROMPT,
@@ -23,6 +23,7 @@
     stream_three_events,
     wait_until,
 )
+from store_standin import running_store
 
 __all__ = ["metrics_port"]
 
--- a/tests/test_node_start.py
+++ b/tests/test_node_start.py
@@ -6,8 +6,8 @@
 from endivelug.forwarding.node import Node
 from endivelug.platform.program import make_platform
 from forwarding_builders import LogRecorder, configuration_document
-from platform_standins import running_store
 from router_process import make_settings, metrics_port, wait_until
+from store_standin import running_store
 
 __all__ = ["metrics_port"]
 
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -7,8 +7,9 @@
 import pytest
 
 from misbehaving_clients import running_process
-from platform_standins import _StoreHandler, request
+from platform_standins import request
 from router_process import PROMPT, wait_until
+from store_standin import _StoreHandler
 
 # Routes let their requests last longer than the grace period.
 GRACE_S = 4.0
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -9,7 +9,7 @@
 from endivelug.leases import Lease
 from endivelug.platform.lease_table import ROUTER_TABLE, LeaseTable
 from endivelug.platform.store import PlatformStore
-from platform_standins import running_store
+from store_standin import StoreCopy, running_store
 
 
 def run_with_store(scenario):
@@ -79,6 +79,71 @@
     run_with_store(scenario)
 
 
+# Guards against taking a row of the store's copy for one of the time before.
+def test_rows_and_pages_name_the_era_of_the_answer():
+    async def scenario(store, store_standin):
+        eras = []
+        store.on_answer = eras.append
+        store_standin.put("t", "a", {"n": 1})
+        before = await store.read("t")
+        store_standin.restore(store_standin.take_copy())
+        page = await store.read("t")
+        assert (before.era, page.era, page.rows[0].era) == (0, 1, 1)
+        assert page.rows[0].store_version > before.rows[0].store_version
+        write = RowWrite(table="t", key="b", value=b"1", expected_version=0)
+        assert (await store.write([write])).era == 1
+        assert eras == [0, 1, 1]
+
+    run_with_store(scenario)
+
+
+# Guards against taking a row that was lost for the one that got its version afterwards.
+def test_a_condition_of_a_former_era_leaves_the_outcome_unknown():
+    async def scenario(store, store_standin):
+        store_standin.put("t", "a", b"lost")
+        (row,) = (await store.read("t")).rows
+        store_standin.restore(StoreCopy(rows={}, version=0))
+        store_standin.put("t", "a", b"other")
+        write = RowWrite(
+            table="t",
+            key="a",
+            value=b"1",
+            expected_version=row.version,
+            expected_era=row.era,
+        )
+        with pytest.raises(TableOutcomeUnknown):
+            await store.write([write])
+
+    run_with_store(scenario)
+
+
+# Guards against mixing the rows of two eras in one table.
+def test_a_read_whose_pages_are_of_two_eras_begins_again():
+    async def scenario(store, store_standin):
+        store_standin.page_rows = 2
+        for key in "abc":
+            store_standin.put("t", key, {})
+        copy = StoreCopy(rows={}, version=0)
+        store_standin.after_answer = lambda: store_standin.restore(copy)
+        page = await store.read("t")
+        assert (page.rows, page.era) == ([], 1)
+
+    run_with_store(scenario)
+
+
+# Guards against an error in the header that is taken for an era.
+@pytest.mark.parametrize("text", ["", "-1", "1.0", "x", "9" * 40])
+def test_an_answer_with_a_malformed_era_is_unusable(text):
+    async def scenario(store, store_standin):
+        store_standin.era = text
+        with pytest.raises(TableUnavailable):
+            await store.read("t")
+        with pytest.raises(TableOutcomeUnknown):
+            await store.write([RowWrite(table="t", key="a", value=b"1")])
+
+    run_with_store(scenario)
+
+
 # Guards against waiting forever for a store that is down.
 def test_an_unreachable_store_is_unavailable():
     async def run():
--- a/tests/test_vm_rows.py
+++ b/tests/test_vm_rows.py
@@ -5,7 +5,7 @@
 from endivelug.forwarding.vm_rows import VmRows
 from endivelug.platform.store import PlatformStore
 from forwarding_builders import LogRecorder
-from platform_standins import running_store
+from store_standin import running_store
 
 
 def make_rows(store, seed):
