Order rows by their writers, not by the versions of one era

Cause: a row was news only if its version was above that of the cached one, and after a restoration the store gives out versions again. A comparison by era alone would go back to the older configuration, revive upstreams that drain or are gone, and drop those that the copy lacks. Change: the rows of a VM are in a module of their own (row_cache). Versions are compared with their era. A row that is older by the count of its writer (number, version, or start and sequence number) changes nothing; the known content is filed under its version, for VMs that copy the rows. Removals are provisional for the usual time after a restoration. Reports, rows and requests for rows name eras, so a member fetches the whole table of a newer one; reports name the configuration in force, and a VM with a lower one fetches it. A removal carries the sequence number that the sender knows, as relays pass on no heartbeats. Ruled out: remembering only the highest row version, which needs no era but hides what the operator writes until versions have passed the old ones.

--- a/src/endivelug/forwarding/buffers/request_reader.py
+++ b/src/endivelug/forwarding/buffers/request_reader.py
@@ -25,7 +25,7 @@
 )
 from endivelug.forwarding.buffers.held_body import READ_BYTES, HeldBody
 from endivelug.forwarding.buffers.memory_account import SMALL_BODY_BYTES
-from endivelug.forwarding.cluster_view import MAX_LOGGED_REASON
+from endivelug.forwarding.row_cache import MAX_LOGGED_REASON
 
 # Interval in which a body that waits for room looks whether its caller has left.
 CLOSED_CHECK_INTERVAL_S = 1.0
--- a/src/endivelug/forwarding/cached_rows.py
+++ b/src/endivelug/forwarding/cached_rows.py
@@ -1,9 +1,41 @@
-"""Rows of the platform's tables that a VM keeps."""
+"""Rows of the platform's tables that a VM keeps, and which of two is newer.
+
+What a row says is ordered by the count of its writer: configurations by their number,
+desired weights by their version, registrations by the start of the upstream and the
+sequence number of its entry. Positions in the store order the rows of one era, but a
+row of a new era may come from an older copy.
+"""
 
 from dataclasses import dataclass
+from enum import Enum
+
+from endivelug.forwarding.records import (
+    ConfigurationRecord,
+    InstanceRecord,
+    OtherRecord,
+    Record,
+    WeightsRecord,
+)
+from endivelug.forwarding.row_store import StoredRow, StoreVersion, WriterCount
+
+
+class Verdict(Enum):
+    """What to do with a row.
+
+    Attributes
+    ----------
+    NEWER : Verdict
+        Its content is the newest, or repeats it.
+    OUTDATED : Verdict
+        It is the latest of the store, but its content is older than the known one,
+        which is kept and filed under the version of the row.
+    IGNORED : Verdict
+        It is neither.
+    """
 
-from endivelug.forwarding.records import Record
-from endivelug.forwarding.row_store import StoredRow
+    NEWER = "newer"
+    OUTDATED = "outdated"
+    IGNORED = "ignored"
 
 
 @dataclass(slots=True, kw_only=True)
@@ -12,10 +44,125 @@
 
     Attributes
     ----------
-    changed : int
+    row : StoredRow
+        The newest content, under the version of the latest row of the store.
+    changed : StoreVersion
         Version of the row's last change other than a heartbeat.
+    content_era : int
+        Era in which the last readable content was read.
+    count : WriterCount or None
+        Writer's count of the last readable content.
+    kept : bool
+        Whether the row of the store has other, older content.
     """
 
     row: StoredRow
     record: Record
-    changed: int
+    changed: StoreVersion
+    content_era: int
+    count: WriterCount | None
+    kept: bool = False
+
+
+def writer_count(record: Record) -> WriterCount | None:
+    """Return the writer's count of a record, or None if it has none."""
+    match record:
+        case ConfigurationRecord(configuration=configuration):
+            return WriterCount(number=configuration.version)
+        case WeightsRecord(version=version):
+            return WriterCount(number=version)
+        case InstanceRecord(instance=instance, sequence=sequence):
+            return WriterCount(started_ms=instance.started_ms, number=sequence)
+        case _:
+            return None
+
+
+def judge(
+    row: StoredRow, record: Record, cached: CachedRow, *, in_use: bool
+) -> Verdict:
+    """Return whether a row is newer than the cached one of the same key.
+
+    Parameters
+    ----------
+    in_use : bool
+        Whether the upstream of the row is known and not removed for good.
+    """
+    is_later = row.store_version > cached.row.store_version
+    by_position = Verdict.NEWER if is_later else Verdict.IGNORED
+    older = Verdict.OUTDATED if is_later else Verdict.IGNORED
+    count, known = writer_count(record), cached.count
+    if known is None:
+        return by_position
+    match record:
+        case OtherRecord() if row.removed and row.era > cached.content_era:
+            # The copy is from a time before the row was written.
+            return older
+        case ConfigurationRecord() | WeightsRecord():
+            assert count is not None
+            if count > known:
+                return Verdict.NEWER
+            return by_position if count == known else older
+        case InstanceRecord() if row.era != cached.content_era:
+            assert count is not None
+            if count > known:
+                # An entry of an earlier era is older than a removal of this one.
+                return by_position if cached.row.removed else Verdict.NEWER
+            repeats = cached.record == record or (cached.row.removed and in_use)
+            return by_position if count == known and repeats else older
+        case _:
+            return by_position
+
+
+def file_row(row: StoredRow, record: Record, cached: CachedRow | None) -> CachedRow:
+    """Return what to keep of a row whose content is the newest."""
+    count = writer_count(record)
+    content_era = row.era
+    position = row.store_version
+    changed = StoreVersion(era=row.era, number=row.changed or row.version)
+    if cached is not None:
+        if count is None:
+            # A removal or an unreadable row does not hide what was known before.
+            count, content_era = _later(cached.count, row), cached.content_era
+        position = max(position, cached.row.store_version)
+        if position > row.store_version:
+            changed = position
+        elif cached.record == record and cached.changed.era == row.era:
+            changed = cached.changed
+    return CachedRow(
+        row=_at(row, position),
+        record=record,
+        changed=changed,
+        content_era=content_era,
+        count=count,
+    )
+
+
+def file_known(row: StoredRow, record: Record, cached: CachedRow) -> CachedRow:
+    """Return the known content, filed under the version of a row that is older."""
+    is_same_era = cached.changed.era == row.era
+    return CachedRow(
+        row=_at(cached.row, row.store_version),
+        record=cached.record,
+        changed=cached.changed if is_same_era else row.store_version,
+        content_era=cached.content_era,
+        count=cached.count,
+        kept=record != cached.record,
+    )
+
+
+def _later(known: WriterCount | None, row: StoredRow) -> WriterCount | None:
+    """Return the higher of the known count and that which a peer knew of a row."""
+    if known is None or row.count is None:
+        return known
+    return max(known, row.count)
+
+
+def _at(row: StoredRow, position: StoreVersion) -> StoredRow:
+    return StoredRow(
+        table=row.table,
+        key=row.key,
+        value=row.value,
+        version=position.number,
+        era=position.era,
+        removed=row.removed,
+    )
--- a/src/endivelug/forwarding/cluster_view.py
+++ b/src/endivelug/forwarding/cluster_view.py
@@ -1,14 +1,12 @@
 """State of the deployment on one VM: configuration, upstreams, weights and loads.
 
-Rows come from the platform's feed or, if the feed is unavailable, from peers. A row is
-applied only if its version is higher than the cached one, so state never goes
-backwards.
+Rows come from the platform's feed or, if the feed is unavailable, from peers. Only the
+newest row of a key is applied (``row_cache``), so state never goes backwards.
 """
 
 from collections.abc import Callable
 
 from endivelug import _rendezvous
-from endivelug.forwarding.cached_rows import CachedRow
 from endivelug.forwarding.desired_weights import AnnouncedVersion, DesiredWeights
 from endivelug.forwarding.instance_load import InstanceLoads
 from endivelug.forwarding.instances import Instance, InstanceRegistry
@@ -28,13 +26,11 @@
     WeightsRecord,
 )
 from endivelug.forwarding.routes import CacheStore, RoutingConfiguration
-from endivelug.forwarding.row_store import RowPage, StoredRow
+from endivelug.forwarding.row_cache import LogLine, RowCache
+from endivelug.forwarding.row_store import RowPage, StoredRow, StoreVersion
 from endivelug.forwarding.store_eras import StoreEras
 
-LogLine = Callable[..., None]
-
-# Longest part of the reason, in characters, for which a row is not applied.
-MAX_LOGGED_REASON = 200
+__all__ = ["ClusterView", "LogLine"]
 
 
 def _ignore(*changed: object) -> None:
@@ -77,7 +73,6 @@
         self.on_registered: Callable[[Instance | None, Instance], None] = _ignore
         self.on_avoided: Callable[[str, float], None] = _ignore
         self.on_new_weights: Callable[[Instance], None] = _ignore
-        self.on_version_advanced: Callable[[], None] = _ignore
         self.configuration: RoutingConfiguration | None = None
         self.desired_weights: dict[str, DesiredWeights] = {}
         self.registry = InstanceRegistry()
@@ -85,9 +80,13 @@
         self.loads = InstanceLoads()
         self.caches = PromptCaches()
         self.observed: dict[tuple[tuple[str, int], str], int] = {}
-        self.rows: dict[tuple[str, str], CachedRow] = {}
-        self.latest_versions: dict[str, int] = dict.fromkeys(records.tables, 0)
-        self.loaded_tables: set[str] = set()
+        self.rows = RowCache(
+            records=records,
+            log=lambda event, **fields: self.log(event, **fields),
+            apply_record=self._apply,
+            is_in_use=lambda name: self.registry.get(name) is not None,
+            before_restored=self._before_restored,
+        )
         self.assumed_weights_age_s = assumed_weights_age_s
         self.store_unreachable_until: dict[str, float] = {}
 
@@ -97,83 +96,34 @@
         all_read = self.loaded_tables.issuperset(self.records.tables)
         return self.configuration is not None and all_read
 
+    @property
+    def latest_versions(self) -> dict[str, StoreVersion]:
+        """Version of the last change of each table other than a heartbeat."""
+        return self.rows.latest_versions
+
+    @property
+    def loaded_tables(self) -> set[str]:
+        """Tables that were read as a whole."""
+        return self.rows.loaded_tables
+
+    @property
+    def configuration_number(self) -> int:
+        """Number of the configuration in force; 0 before the first one."""
+        return self.configuration.version if self.configuration else 0
+
     def replace_table(self, table: str, page: RowPage, *, source: str) -> None:
         """Apply a full read of a table; remove rows that it does not contain."""
-        present = {row.key for row in page.rows}
-        removals = [
-            StoredRow(
-                table=table, key=key, value=b"", version=page.version, removed=True
-            )
-            for (name, key), cached in self.rows.items()
-            if name == table
-            and key not in present
-            and not cached.row.removed
-            and cached.row.version < page.version
-        ]
-        self.apply([*page.rows, *removals], source=source)
-        self.loaded_tables.add(table)
+        self.eras.observe(page.era)
+        if self.rows.replace_table(table, page, source=source):
+            self.on_change()
 
     def apply(self, rows: list[StoredRow], *, source: str) -> bool:
         """Apply changed rows; return whether any change was more than a heartbeat."""
-        changed = False
-        for row in sorted(rows, key=lambda item: item.version):
-            cached = self.rows.get((row.table, row.key))
-            if cached is not None and cached.row.version >= row.version:
-                continue
-            changed = self._store_row(row, cached, source) or changed
+        changed = self.rows.apply(rows, source=source)
         if changed:
             self.on_change()
         return changed
 
-    def rows_after(self, table: str, version: int) -> list[CachedRow]:
-        """Return the rows of a table whose last change is after a version."""
-        return [
-            cached
-            for cached in self.rows.values()
-            if cached.row.table == table and cached.changed > version
-        ]
-
-    def advance_version(self, table: str, version: int) -> None:
-        """Record that all changes of a table up to a version have been applied."""
-        if version > self.latest_versions.get(table, 0):
-            self.latest_versions[table] = version
-            self.on_version_advanced()
-
-    def _store_row(self, row: StoredRow, cached: CachedRow | None, source: str) -> bool:
-        """Store a newer row; return whether it is more than a heartbeat."""
-        record = self._decode(row)
-        changed = row.changed or row.version
-        if cached is not None and cached.record == record:
-            changed = cached.changed
-        self.rows[row.table, row.key] = CachedRow(
-            row=row, record=record, changed=changed
-        )
-        try:
-            self._apply(record, row, source)
-        except Exception as error:
-            # One row must not keep the rows after it from being applied.
-            self._log_unreadable(row, f"it cannot be applied: {error!r}")
-        if cached is not None and cached.changed == changed:
-            return False
-        self.advance_version(row.table, changed)
-        return True
-
-    def _decode(self, row: StoredRow) -> Record:
-        """Decode a row of another writer, whatever it holds."""
-        try:
-            return self.records.decode(row)
-        except Exception as error:
-            return UnreadableRecord(reason=repr(error))
-
-    def _log_unreadable(self, row: StoredRow, reason: str) -> None:
-        self.log(
-            "row-unreadable",
-            table=row.table,
-            key=row.key,
-            row_version=row.version,
-            reason=reason[:MAX_LOGGED_REASON],
-        )
-
     def expire(self) -> None:
         """Remove the instances that did not register again after an outage."""
         for instance in self.registry.expire(now=self.clock()):
@@ -290,18 +240,25 @@
                 self._register_instance(instance, row, source)
             case InstanceRemoved(name=name):
                 removed = self.registry.remove(
-                    name, row_version=row.version, now=self.clock()
+                    name, row_version=row.version, era=row.era, now=self.clock()
                 )
                 if removed is not None:
                     self._remove_instance(removed, "removed from the registry")
             case UnreadableRecord(reason=reason):
-                self._log_unreadable(row, reason)
+                self.rows.log_unreadable(row, reason)
             case OtherRecord():
                 pass
 
+    def _before_restored(self, table: str) -> None:
+        """Give the upstreams that a copy does not hold the time to register again."""
+        if table == self.records.instance_table:
+            self.registry.record_restored(now=self.clock())
+
     def _configure(
         self, configuration: RoutingConfiguration, row: StoredRow, source: str
     ) -> None:
+        if configuration == self.configuration:
+            return
         before = self.configuration.version if self.configuration else None
         self.configuration = configuration
         for store in configuration.cache_stores:
@@ -316,6 +273,7 @@
             version=configuration.version,
             before=before,
             row_version=row.version,
+            era=row.era,
             source=source,
         )
 
@@ -339,6 +297,7 @@
             model=model,
             version=version,
             row_version=row.version,
+            era=row.era,
             source=source,
         )
 
@@ -346,7 +305,9 @@
         self, instance: Instance, row: StoredRow, source: str
     ) -> None:
         known = self.registry.get(instance.name)
-        replaced = self.registry.apply_entry(instance, row_version=row.version)
+        replaced = self.registry.apply_entry(
+            instance, row_version=row.version, era=row.era
+        )
         if replaced is not None:
             self._forget_instance(replaced)
         # It is draining also if it stated that, whatever its entry says.
@@ -360,6 +321,7 @@
                 draining=instance.draining,
                 started_ms=instance.started_ms,
                 row_version=row.version,
+                era=row.era,
                 source=source,
             )
             self.on_registered(known, instance)
--- a/src/endivelug/forwarding/error_responses.py
+++ b/src/endivelug/forwarding/error_responses.py
@@ -7,13 +7,13 @@
 from endivelug.forwarding.buffers.admission import router_response
 from endivelug.forwarding.call_recorder import CallRecorder
 from endivelug.forwarding.calls import Call, Failed
-from endivelug.forwarding.cluster_view import MAX_LOGGED_REASON
 from endivelug.forwarding.crash_suspects import Block
 from endivelug.forwarding.front_server import Writer
 from endivelug.forwarding.not_run_statuses import promises_wrongly
 from endivelug.forwarding.overload.control import Overloaded
 from endivelug.forwarding.refused_callers import RefusedCallers, request_digest
 from endivelug.forwarding.requests import WireFormat
+from endivelug.forwarding.row_cache import MAX_LOGGED_REASON
 from endivelug.forwarding.wait_reasons import NoPlacement
 
 # Range of the Retry-After time: a minimum and a random addition, so that callers that
--- a/src/endivelug/forwarding/front_server.py
+++ b/src/endivelug/forwarding/front_server.py
@@ -25,7 +25,7 @@
 from endivelug.forwarding.buffers.idle_connections import IdleConnections
 from endivelug.forwarding.buffers.request_reader import RequestReader, remote_address
 from endivelug.forwarding.buffers.unread_response import WRITE_BYTES, UnreadResponse
-from endivelug.forwarding.cluster_view import MAX_LOGGED_REASON, LogLine
+from endivelug.forwarding.row_cache import MAX_LOGGED_REASON, LogLine
 from endivelug.forwarding.upstream_connection import Headers
 
 # Longer than the idle time that the configuration grants to callers; the limit of file
--- a/src/endivelug/forwarding/instances.py
+++ b/src/endivelug/forwarding/instances.py
@@ -11,6 +11,8 @@
 
 from dataclasses import dataclass, field, replace
 
+from endivelug.forwarding.row_store import StoreVersion
+
 # Live instances whose entry lapsed during an outage of the registry register again
 # within two seconds of its end; one heartbeat is added as a margin.
 REREGISTRATION_S = 2.5
@@ -61,7 +63,7 @@
 @dataclass(slots=True, kw_only=True)
 class _Entry:
     instance: Instance
-    row_version: int
+    row_version: StoreVersion
     drain_listed: bool
     registered: bool = True
     removed_until: float = 0.0
@@ -77,7 +79,7 @@
         Entries by instance name.
     leaving : dict of (str, int) to float
         Incarnations that stated that they are leaving, and when a peer last told so.
-    removed : dict of str to int
+    removed : dict of str to StoreVersion
         Row version of the removal, by name of a removed instance.
     provisional_until : float
         Time until which a removal is provisional, because the instance may be alive;
@@ -86,7 +88,7 @@
 
     entries: dict[str, _Entry] = field(default_factory=dict)
     leaving: dict[tuple[str, int], float] = field(default_factory=dict)
-    removed: dict[str, int] = field(default_factory=dict)
+    removed: dict[str, StoreVersion] = field(default_factory=dict)
     provisional_until: float = 0.0
     _newest: dict[str, Instance] | None = None
     _serving: dict[str, list[Instance]] = field(default_factory=dict)
@@ -101,18 +103,33 @@
         if self.provisional_until == float("inf"):
             self.provisional_until = now + REREGISTRATION_S
 
-    def apply_entry(self, instance: Instance, *, row_version: int) -> Instance | None:
-        """Apply an entry; return the previous incarnation if it was replaced."""
+    def record_restored(self, *, now: float) -> None:
+        """Record that the registry came back from an older copy.
+
+        An upstream that registered since the copy is not in it.
+        """
+        self.provisional_until = max(self.provisional_until, now + REREGISTRATION_S)
+
+    def apply_entry(
+        self, instance: Instance, *, row_version: int, era: int = 0
+    ) -> Instance | None:
+        """Apply an entry; return the previous incarnation if it was replaced.
+
+        An entry with the version of the known one replaces it: it may be newer by the
+        count of the upstream.
+        """
+        version = StoreVersion(era=era, number=row_version)
         known = self.entries.get(instance.name)
-        if known is not None and known.row_version >= row_version:
+        if known is not None and known.row_version > version:
             return None
-        if self.removed.get(instance.name, 0) >= row_version:
+        removed_at = self.removed.get(instance.name)
+        if removed_at is not None and removed_at >= version:
             return None
         drain_listed = instance.draining
         if instance.incarnation in self.leaving:
             instance = replace(instance, draining=True)
         self.entries[instance.name] = _Entry(
-            instance=instance, row_version=row_version, drain_listed=drain_listed
+            instance=instance, row_version=version, drain_listed=drain_listed
         )
         if known is None or known.instance != instance:
             self._invalidate_caches()
@@ -170,12 +187,15 @@
             and not entry.drain_listed
         )
 
-    def remove(self, name: str, *, row_version: int, now: float) -> Instance | None:
+    def remove(
+        self, name: str, *, row_version: int, era: int = 0, now: float
+    ) -> Instance | None:
         """Apply a removal; return the instance unless the removal is provisional."""
+        version = StoreVersion(era=era, number=row_version)
         known = self.entries.get(name)
-        if known is None or known.row_version >= row_version:
+        if known is None or known.row_version >= version:
             return None
-        known.row_version = row_version
+        known.row_version = version
         if now < self.provisional_until and not known.instance.draining:
             known.registered = False
             known.removed_until = min(self.provisional_until, now + 60.0)
--- a/src/endivelug/forwarding/neighbour.py
+++ b/src/endivelug/forwarding/neighbour.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from endivelug.forwarding.neighbour_sums import Load, RetryCount, SentAmounts
+from endivelug.forwarding.row_store import StoreVersion
 from endivelug.forwarding.shared_amounts import Amounts
 
 # Number of a VM to which the sender of a report has given none: it is a relay, or the
@@ -35,8 +36,10 @@
         Time at which its rows were last known to be current.
     lease_until : float
         Time until which it certainly holds the order lease.
-    tables : dict of str to int
+    tables : dict of str to StoreVersion
         Versions of its tables.
+    configuration : int
+        Number of the configuration in force there; 0 before the first one.
     greeted, in_sync : bool
         Whether it was sent a first report without amounts, and a full report, after
         which it gets the changes.
@@ -66,7 +69,8 @@
     follows_store: bool = False
     rows_current_at: float = float("-inf")
     lease_until: float = 0.0
-    tables: dict[str, int] = field(default_factory=dict)
+    tables: dict[str, StoreVersion] = field(default_factory=dict)
+    configuration: int = 0
     greeted: bool = False
     in_sync: bool = False
     number: int = NO_MEMBER
--- a/src/endivelug/forwarding/node_gauges.py
+++ b/src/endivelug/forwarding/node_gauges.py
@@ -19,6 +19,8 @@
     gauges["configuration_version"] = lambda: (
         node.view.configuration.version if node.view.configuration else 0
     )
+    gauges["store_era"] = lambda: node.view.eras.newest or 0
+    gauges["rows_kept"] = node.view.rows.kept_rows
     gauges["lease_held"] = lambda: node.lease.remaining_s(boot_clock()) > 0
     gauges["log_lines_dropped"] = lambda: node.log.dropped_total
     gauges["prompts_blocked"] = lambda: len(node.suspects.blocked(now=node.clock()))
--- a/src/endivelug/forwarding/peer_guard.py
+++ b/src/endivelug/forwarding/peer_guard.py
@@ -1,6 +1,6 @@
 """Keeps a message of a peer that cannot be handled from ending in a traceback."""
 
-from endivelug.forwarding.cluster_view import MAX_LOGGED_REASON, LogLine
+from endivelug.forwarding.row_cache import MAX_LOGGED_REASON, LogLine
 from endivelug.links import Link, SyncHandler, SyncHandlers
 from endivelug.messages import Message
 
--- a/src/endivelug/forwarding/peer_messages.py
+++ b/src/endivelug/forwarding/peer_messages.py
@@ -135,10 +135,17 @@
 
 @dataclass(slots=True, kw_only=True)
 class TableVersion:
-    """Version of the last change of a table that the sender has applied."""
+    """Version of the last change of a table that the sender has applied.
+
+    Attributes
+    ----------
+    era : int
+        Era of the store in which it was given out.
+    """
 
     table: str
     version: int
+    era: int
 
 
 @dataclass(slots=True, kw_only=True)
@@ -174,6 +181,10 @@
         Time for which the sender certainly holds the order lease; 0 without it.
     tables : list of TableVersion
         Table versions that have changed.
+    store_era : int
+        Newest era of the store that the sender has met; 0 before the first answer.
+    configuration : int
+        Number of the configuration in force at the sender; 0 before the first one.
     amounts : list of AmountReport
         Shared amounts; see ``shared_amounts``.
     parts : list of HeldPart
@@ -195,6 +206,8 @@
     rows_age_s: float
     lease_s: float
     tables: list[TableVersion]
+    store_era: int
+    configuration: int
     work: list[LoadReport]
     retries: list[RetryReport]
     amounts: list[AmountReport]
@@ -213,11 +226,20 @@
 
 @dataclass(slots=True, kw_only=True)
 class RowsRequest:
-    """Request for the rows of a table that changed after a version."""
+    """Request for the rows of a table that changed after a version.
+
+    Attributes
+    ----------
+    after : int
+        Version up to which the sender has the rows, or 0 for all rows.
+    era : int
+        Era of the store in which it was given out.
+    """
 
     TYPE: ClassVar[int] = 41
     table: str
     after: int
+    era: int
 
 
 @dataclass(slots=True, kw_only=True)
@@ -228,6 +250,11 @@
     ----------
     changed : int
         Version of the row's last change other than a heartbeat.
+    era : int
+        Era of the store in which both versions were given out.
+    started_ms, number : int
+        Highest count of the row's writer that the sender knows, as in ``WriterCount``;
+        0 if it knows none.
     """
 
     key: str
@@ -235,6 +262,9 @@
     version: int
     removed: bool
     changed: int
+    era: int
+    started_ms: int
+    number: int
 
 
 @dataclass(slots=True, kw_only=True)
@@ -245,6 +275,8 @@
     ----------
     version : int
         Version of the last change that the sender has applied.
+    era : int
+        Era of the store in which it was given out.
     complete : bool
         Whether the sender has read the whole table and ``rows`` holds all of its rows.
     """
@@ -252,6 +284,7 @@
     TYPE: ClassVar[int] = 42
     table: str
     version: int
+    era: int
     complete: bool
     rows: list[TableRow]
 
--- a/src/endivelug/forwarding/peer_reports.py
+++ b/src/endivelug/forwarding/peer_reports.py
@@ -24,6 +24,7 @@
 from endivelug.forwarding.refused_callers import RefusedCallers
 from endivelug.forwarding.report_builder import ReportBuilder
 from endivelug.forwarding.retry_budget import SharedRetryBudget
+from endivelug.forwarding.row_store import StoreVersion
 from endivelug.forwarding.shared_amounts import Amounts, SharedAmountTable
 
 # Longest time for which a peer's notice is valid.
@@ -83,6 +84,7 @@
             Whether this VM is a relay that passes on the reports of others.
         """
         self._update_neighbour(neighbour, report)
+        self.view.eras.observe(report.store_era)
         is_upstream = neighbour.is_relay or not forwards
         self.set_upstream(vm, is_upstream)
         self.budget.represented_vms[vm] = neighbour.vms
@@ -128,7 +130,11 @@
         neighbour.follows_store = report.follows_store
         neighbour.rows_current_at = now - report.rows_age_s
         neighbour.lease_until = now + report.lease_s if report.lease_s > 0 else 0.0
-        neighbour.tables.update({item.table: item.version for item in report.tables})
+        neighbour.configuration = report.configuration
+        for item in report.tables:
+            neighbour.tables[item.table] = StoreVersion(
+                era=item.era, number=item.version
+            )
 
     def _is_next(self, neighbour: Neighbour, report: RouterReport) -> bool:
         """Return whether the amounts of a report follow those already applied."""
--- a/src/endivelug/forwarding/peer_rows.py
+++ b/src/endivelug/forwarding/peer_rows.py
@@ -5,19 +5,32 @@
 from functools import partial
 
 from endivelug.exceptions import EndivelugError
+from endivelug.forwarding.cached_rows import CachedRow
 from endivelug.forwarding.cluster_view import ClusterView, LogLine
+from endivelug.forwarding.neighbour import Neighbour
 from endivelug.forwarding.peer_messages import (
     RowsReply,
     RowsRequest,
     TableRow,
 )
-from endivelug.forwarding.row_store import RowPage, StoredRow
+from endivelug.forwarding.row_store import (
+    RowPage,
+    StoredRow,
+    StoreVersion,
+    WriterCount,
+)
 from endivelug.links import Link
 
 # Newer rows are requested from a peer unless this VM's own feed delivers them in this
 # time.
 ROWS_DELAY_S = 0.25
 ROWS_TIMEOUT_S = 1.0
+# A table that was fetched for the configuration is fetched again after this time at the
+# earliest.
+REPEAT_S = 1.0
+# What a peer may be ahead in: the version of a table, or the configuration in force.
+_TABLE = "table"
+_CONFIGURATION = "configuration"
 
 
 class PeerRows:
@@ -41,20 +54,30 @@
         self.follows_store = follows_store
         self.clock = clock
         self.log = log
-        self.behind_since: dict[tuple[str, str], float] = {}
+        self.behind_since: dict[tuple[str, str, str], float] = {}
         self._fetching: set[str] = set()
 
-    def compare_versions(self, link: Link, tables: dict[str, int]) -> None:
-        """Compare a peer's table versions with this VM's, and fetch newer rows."""
-        now, vm = self.clock(), link.peer.vm
-        for table, version in tables.items():
-            key = (vm, table)
-            if version <= self.view.latest_versions.get(table, 0):
-                self.behind_since.pop(key, None)
-                continue
-            since = self.behind_since.setdefault(key, now)
-            if not self.follows_store() or now - since >= ROWS_DELAY_S:
-                self._start_fetch(link, table)
+    def compare(self, link: Link, neighbour: Neighbour) -> None:
+        """Compare what a peer has with what this VM has, and fetch what is newer."""
+        for table, version in neighbour.tables.items():
+            is_behind = version > self.view.rows.latest_version(table)
+            self._consider(link, table, _TABLE, is_behind=is_behind)
+        # The rows of a VM that has read an older copy of the store may have the same
+        # versions as those of its peers.
+        is_behind = neighbour.configuration > self.view.configuration_number
+        table = self.view.records.operator_table
+        self._consider(link, table, _CONFIGURATION, is_behind=is_behind)
+
+    def _consider(self, link: Link, table: str, what: str, *, is_behind: bool) -> None:
+        """Fetch a table if this VM has been behind a peer for long enough."""
+        now, key = self.clock(), (link.peer.vm, table, what)
+        if not is_behind:
+            self.behind_since.pop(key, None)
+            return
+        since = self.behind_since.setdefault(key, now)
+        delay_s = ROWS_DELAY_S if self.follows_store() else 0.0
+        if now - since >= delay_s:
+            self._start_fetch(link, table, whole=what == _CONFIGURATION)
 
     def forget(self, vm: str) -> None:
         """Drop the state of a disconnected peer."""
@@ -63,27 +86,25 @@
 
     def answer(self, request: RowsRequest) -> RowsReply:
         """Return the rows that a peer requested."""
+        rows = self.view.rows
+        version = rows.latest_version(request.table)
+        after = StoreVersion(era=request.era, number=request.after)
+        if after.era != version.era:
+            after = StoreVersion()
+        is_whole = after == StoreVersion()
         return RowsReply(
             table=request.table,
-            version=self.view.latest_versions.get(request.table, 0),
-            complete=request.table in self.view.loaded_tables,
-            rows=[
-                TableRow(
-                    key=cached.row.key,
-                    value=cached.row.value,
-                    version=cached.row.version,
-                    removed=cached.row.removed,
-                    changed=cached.changed,
-                )
-                for cached in self.view.rows_after(request.table, request.after)
-            ],
+            version=version.number,
+            era=version.era,
+            complete=is_whole and request.table in rows.loaded_tables,
+            rows=[_table_row(row) for row in rows.rows_after(request.table, after)],
         )
 
-    def _start_fetch(self, link: Link, table: str) -> None:
+    def _start_fetch(self, link: Link, table: str, *, whole: bool) -> None:
         if table in self._fetching:
             return
         self._fetching.add(table)
-        task = asyncio.create_task(self._fetch(link, table))
+        task = asyncio.create_task(self._fetch(link, table, whole=whole))
         task.add_done_callback(partial(self._fetch_done, table))
 
     def _fetch_done(self, table: str, task: asyncio.Task[None]) -> None:
@@ -91,41 +112,70 @@
         if not task.cancelled() and task.exception() is not None:
             self.log("job-failed", job="PeerRows.fetch", reason=repr(task.exception()))
 
-    async def _fetch(self, link: Link, table: str) -> None:
-        full_read = table not in self.view.loaded_tables
-        after = 0 if full_read else self.view.latest_versions.get(table, 0)
-        request = RowsRequest(table=table, after=after)
+    async def _fetch(self, link: Link, table: str, *, whole: bool) -> None:
+        after = self._after(table, whole=whole)
+        request = RowsRequest(table=table, after=after.number, era=after.era)
+        vm = link.peer.vm
         try:
             reply = await link.request(request, timeout_s=ROWS_TIMEOUT_S)
         except (EndivelugError, TimeoutError) as error:
-            self.log(
-                "peer-rows-failed", peer=link.peer.vm, table=table, reason=str(error)
-            )
+            self.log("peer-rows-failed", peer=vm, table=table, reason=str(error))
             return
         if not isinstance(reply, RowsReply) or reply.table != table:
-            self.log(
-                "peer-rows-failed", peer=link.peer.vm, table=table, reason="wrong reply"
-            )
+            self.log("peer-rows-failed", peer=vm, table=table, reason="wrong reply")
+            return
+        self._apply(reply, source=f"peer/{vm}")
+        self.behind_since.pop((vm, table, _TABLE), None)
+        if whole:
+            # The rows of the peer may not hold what it has in force.
+            self.behind_since[vm, table, _CONFIGURATION] = self.clock() + REPEAT_S
+
+    def _after(self, table: str, *, whole: bool) -> StoreVersion:
+        """Return the version up to which this VM has the rows of a table."""
+        if whole or table not in self.view.loaded_tables:
+            return StoreVersion()
+        return self.view.rows.latest_version(table)
+
+    def _apply(self, reply: RowsReply, *, source: str) -> None:
+        rows, view = [_stored_row(reply.table, row) for row in reply.rows], self.view
+        era = view.rows.latest_version(reply.table).era
+        is_loaded = reply.table in view.loaded_tables
+        if reply.complete and reply.era >= era:
+            number = max((row.version for row in rows), default=0)
+            page = RowPage(rows=rows, version=number, era=reply.era)
+            view.replace_table(reply.table, page, source=source)
+        elif is_loaded and reply.era > era:
+            # Without the other rows, the table would be of two eras.
             return
-        self._apply(reply, full_read=full_read, source=f"peer/{link.peer.vm}")
-        self.behind_since.pop((link.peer.vm, table), None)
-
-    def _apply(self, reply: RowsReply, *, full_read: bool, source: str) -> None:
-        rows = [
-            StoredRow(
-                table=reply.table,
-                key=row.key,
-                value=row.value,
-                version=row.version,
-                removed=row.removed,
-                changed=row.changed,
-            )
-            for row in reply.rows
-        ]
-        if full_read and reply.complete:
-            version = max((row.version for row in rows), default=0)
-            page = RowPage(rows=rows, version=version)
-            self.view.replace_table(reply.table, page, source=source)
         else:
-            self.view.apply(rows, source=source)
-        self.view.advance_version(reply.table, reply.version)
+            view.apply(rows, source=source)
+        version = StoreVersion(era=reply.era, number=reply.version)
+        view.rows.advance_version(reply.table, version)
+
+
+def _table_row(cached: CachedRow) -> TableRow:
+    count = cached.count or WriterCount()
+    return TableRow(
+        key=cached.row.key,
+        value=cached.row.value,
+        version=cached.row.version,
+        removed=cached.row.removed,
+        changed=cached.changed.number,
+        era=cached.row.era,
+        started_ms=count.started_ms,
+        number=count.number,
+    )
+
+
+def _stored_row(table: str, row: TableRow) -> StoredRow:
+    count = WriterCount(started_ms=row.started_ms, number=row.number)
+    return StoredRow(
+        table=table,
+        key=row.key,
+        value=row.value,
+        version=row.version,
+        removed=row.removed,
+        changed=row.changed,
+        era=row.era,
+        count=None if count == WriterCount() else count,
+    )
--- a/src/endivelug/forwarding/peers.py
+++ b/src/endivelug/forwarding/peers.py
@@ -23,10 +23,7 @@
 from endivelug.forwarding.peer_rows import PeerRows
 from endivelug.forwarding.prompt_cache import PromptSegment
 from endivelug.forwarding.refused_callers import RefusedCallers
-from endivelug.forwarding.report_builder import (
-    ReportBuilder,
-    engine_weights,
-)
+from endivelug.forwarding.report_builder import ReportBuilder, engine_weights
 from endivelug.forwarding.report_rounds import ReportRounds
 from endivelug.forwarding.report_sender import ReportSender
 from endivelug.forwarding.report_stream import Standing, segment_changes
@@ -157,7 +154,7 @@
         self.rounds = ReportRounds(clock=clock)
         view.loads.on_change = self.rounds.note_change
         self.shared.on_change = self.rounds.note_change
-        view.on_version_advanced = self.rounds.announce
+        view.rows.on_version_advanced = self.rounds.announce
         self._roles_checked_at = float("-inf")
         self._departed: dict[str, float] = {}
 
@@ -294,6 +291,8 @@
             follows_store=self.follows_store() and self.store_connected(),
             rows_age_s=int(self.rows_source.rows_age_s()),
             holds_lease=self.builder.lease_remaining_s() > 0,
+            store_era=self.view.eras.newest or 0,
+            configuration=self.view.configuration_number,
         )
 
     def _remove_silent_neighbours(self, now: float) -> None:
@@ -360,7 +359,7 @@
             self._standing_changed(neighbour, was_relay=standing[1])
         if neighbour.is_relay:
             self.overlay.record_reachable(vm)
-        self.rows.compare_versions(link, neighbour.tables)
+        self.rows.compare(link, neighbour)
         self.rows_source.apply_registry_state(vm, neighbour)
         if neighbour.missed:
             self._request_full_report(link)
--- a/src/endivelug/forwarding/records.py
+++ b/src/endivelug/forwarding/records.py
@@ -1,6 +1,6 @@
 """Decoded rows of the platform's tables, and the protocol of their decoder."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from endivelug.forwarding.instances import Instance
@@ -25,9 +25,17 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class InstanceRecord:
-    """A registered upstream."""
+    """A registered upstream.
+
+    Attributes
+    ----------
+    sequence : int
+        Number of the entry, which each heartbeat raises; 0 if it has none. Two entries
+        that differ in nothing else are equal.
+    """
 
     instance: Instance
+    sequence: int = field(default=0, compare=False)
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -70,5 +78,9 @@
     def instance_table(self) -> str:
         """Name of the table in which upstreams register."""
 
+    @property
+    def operator_table(self) -> str:
+        """Name of the table with the configuration and the desired weights."""
+
     def decode(self, row: StoredRow) -> Record:
         """Decode a row; return ``UnreadableRecord`` if it is malformed."""
--- a/src/endivelug/forwarding/report_builder.py
+++ b/src/endivelug/forwarding/report_builder.py
@@ -23,6 +23,7 @@
 from endivelug.forwarding.report_stream import PendingNotice, ReportStream, Standing
 from endivelug.forwarding.reported_amounts import Audience, ReportedAmounts
 from endivelug.forwarding.retry_budget import SharedRetryBudget
+from endivelug.forwarding.row_store import StoreVersion
 from endivelug.forwarding.shared_amounts import SharedAmountTable
 
 # Observed weights are reported for this long. After that the registry lists them,
@@ -152,11 +153,13 @@
         stream, now = self.streams[audience], self.clock()
         stream.sequence += 1
         stream.sent_at = now
-        tables = [
-            TableVersion(table=table, version=version)
-            for table, version in self.view.latest_versions.items()
-            if stream.tables.get(table) != version
-        ]
+        tables = _table_versions(
+            {
+                table: version
+                for table, version in self.view.latest_versions.items()
+                if stream.tables.get(table) != version
+            }
+        )
         stream.tables = dict(self.view.latest_versions)
         before, stream.standing = stream.standing, standing
         known = before is not None and before.relays == standing.relays
@@ -173,6 +176,8 @@
             rows_age_s=float(standing.rows_age_s),
             lease_s=round(self.lease_remaining_s(), 1),
             tables=tables,
+            store_era=standing.store_era,
+            configuration=standing.configuration,
             work=self.amounts.loads(audience, stream.loads),
             retries=self.amounts.retries(audience, stream.retries, now=now),
             amounts=self.amounts.amounts(audience, stream.shared),
@@ -212,10 +217,9 @@
             follows_store=standing.follows_store,
             rows_age_s=float(standing.rows_age_s),
             lease_s=round(self.lease_remaining_s(), 1),
-            tables=[
-                TableVersion(table=table, version=version)
-                for table, version in self.view.latest_versions.items()
-            ],
+            tables=_table_versions(self.view.latest_versions),
+            store_era=standing.store_era,
+            configuration=standing.configuration,
             work=self.amounts.all_loads(audience),
             retries=self.amounts.all_retries(audience, now=now),
             amounts=self.amounts.all_amounts(audience),
@@ -248,6 +252,8 @@
             rows_age_s=float(standing.rows_age_s),
             lease_s=round(self.lease_remaining_s(), 1),
             tables=[],
+            store_era=standing.store_era,
+            configuration=standing.configuration,
             work=[],
             retries=[],
             amounts=[],
@@ -324,6 +330,13 @@
     )
 
 
+def _table_versions(versions: dict[str, StoreVersion]) -> list[TableVersion]:
+    return [
+        TableVersion(table=table, version=version.number, era=version.era)
+        for table, version in versions.items()
+    ]
+
+
 def _mark(notice: PendingNotice, now: float) -> Mark:
     return Mark(
         name=notice.name,
--- a/src/endivelug/forwarding/report_stream.py
+++ b/src/endivelug/forwarding/report_stream.py
@@ -10,6 +10,7 @@
 from endivelug.forwarding.neighbour import NO_MEMBER
 from endivelug.forwarding.peer_messages import EngineWeights, HeldPart, NoticeKind
 from endivelug.forwarding.prompt_cache import PromptSegment
+from endivelug.forwarding.row_store import StoreVersion
 
 # Prompt segments and notices in one report; further ones follow in the next.
 MAX_SEGMENTS = 200
@@ -45,6 +46,10 @@
         age matters only beyond a second.
     holds_lease : bool
         Whether this VM certainly holds the order lease.
+    store_era : int
+        Newest era of the store that this VM has met; 0 before the first answer.
+    configuration : int
+        Number of the configuration in force; 0 before the first one.
     """
 
     relay: bool
@@ -53,6 +58,8 @@
     follows_store: bool
     rows_age_s: int
     holds_lease: bool = False
+    store_era: int = 0
+    configuration: int = 0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -69,7 +76,7 @@
         Keys of the amounts that have changed.
     announced : set of (str, int)
         Announced versions of weights of which the audience knows the age.
-    tables : dict of str to int
+    tables : dict of str to StoreVersion
         Table versions in the last report.
     standing : Standing or None
         State of this VM in the last report.
@@ -84,7 +91,7 @@
     weights: list[EngineWeights] = field(default_factory=list)
     segments: deque[HeldPart] = field(default_factory=deque)
     announced: set[tuple[str, int]] = field(default_factory=set)
-    tables: dict[str, int] = field(default_factory=dict)
+    tables: dict[str, StoreVersion] = field(default_factory=dict)
     standing: Standing | None = None
 
     @property
--- a/src/endivelug/forwarding/row_store.py
+++ b/src/endivelug/forwarding/row_store.py
@@ -23,6 +23,23 @@
     number: int = 0
 
 
+@dataclass(slots=True, kw_only=True, frozen=True, order=True)
+class WriterCount:
+    """Count by which the writer of a row orders what it writes.
+
+    Attributes
+    ----------
+    started_ms : int
+        Start of the upstream that wrote the row; 0 for the operator's rows.
+    number : int
+        Sequence number of a registration, number of a configuration or version of
+        desired weights.
+    """
+
+    started_ms: int = 0
+    number: int = 0
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class StoredRow:
     """One row, or its removal.
@@ -36,6 +53,8 @@
         0 if unknown.
     era : int
         Era of the store that gave out both versions.
+    count : WriterCount or None
+        Highest count that a peer knew of the row's writer, for rows from peers.
     """
 
     table: str
@@ -45,6 +64,7 @@
     removed: bool = False
     changed: int = 0
     era: int = 0
+    count: WriterCount | None = None
 
     @property
     def store_version(self) -> StoreVersion:
--- a/src/endivelug/platform/records.py
+++ b/src/endivelug/platform/records.py
@@ -97,7 +97,7 @@
     return model, version
 
 
-def decode_instance(name: str, value: bytes) -> Instance:
+def decode_instance(name: str, value: bytes) -> InstanceRecord:
     """Decode an upstream's registration.
 
     Raises
@@ -120,7 +120,8 @@
         )
     if state not in STATES or not is_address(address):
         raise RecordUnreadable("the state is unknown or the address is not IP:port")
-    return Instance(
+    sequence = document.get("seq")
+    instance = Instance(
         name=name,
         service=str(service),
         address=str(address),
@@ -130,6 +131,9 @@
         started_ms=born,
         model_versions=_model_versions(document.get("models", [])),
     )
+    return InstanceRecord(
+        instance=instance, sequence=sequence if is_integer(sequence) else 0
+    )
 
 
 def _model_versions(models: Any) -> tuple[tuple[str, int], ...]:
@@ -294,6 +298,7 @@
 
     tables = (OPERATOR_TABLE, INSTANCE_TABLE)
     instance_table = INSTANCE_TABLE
+    operator_table = OPERATOR_TABLE
 
     def decode(self, row: StoredRow) -> Record:
         """Decode a row."""
@@ -307,7 +312,7 @@
     if row.table == INSTANCE_TABLE:
         if row.removed:
             return InstanceRemoved(name=row.key)
-        return InstanceRecord(instance=decode_instance(row.key, row.value))
+        return decode_instance(row.key, row.value)
     if row.removed:
         return OtherRecord()
     if row.key == CONFIGURATION_KEY:
--- a/tests/forwarding_builders.py
+++ b/tests/forwarding_builders.py
@@ -214,9 +214,11 @@
     return {**document, **changes}
 
 
-def stored_row(table: str, key: str, document: Any, version: int) -> StoredRow:
+def stored_row(
+    table: str, key: str, document: Any, version: int, era: int = 0
+) -> StoredRow:
     value = document if isinstance(document, bytes) else json.dumps(document).encode()
-    return StoredRow(table=table, key=key, value=value, version=version)
+    return StoredRow(table=table, key=key, value=value, version=version, era=era)
 
 
 def make_view(clock: ManualClock, log: LogRecorder | None = None) -> ClusterView:
--- a/tests/test_cluster_view.py
+++ b/tests/test_cluster_view.py
@@ -138,7 +138,9 @@
     heartbeat = stored_row("servers", "e1", registration_document(seq=5), 20)
     assert not view.apply([heartbeat], source="store")
     assert view.latest_versions["servers"] == before
-    assert view.rows_after("servers", before) == []
+    assert view.rows.rows_after("servers", before) == []
     draining = stored_row("servers", "e1", registration_document(state="draining"), 21)
     assert view.apply([draining], source="store")
-    assert [row.changed for row in view.rows_after("servers", before)] == [21]
+    assert [row.changed.number for row in view.rows.rows_after("servers", before)] == [
+        21
+    ]
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -63,9 +63,9 @@
         stored_row("servers", "e1", registration_document(), 2),
     ]
     assert view.apply(rows, source="store")
-    assert isinstance(view.rows["servers", "odd"].record, UnreadableRecord)
+    assert isinstance(view.rows.rows["servers", "odd"].record, UnreadableRecord)
     assert view.registry.get("e1") is not None
-    assert view.latest_versions["servers"] == 2
+    assert view.latest_versions["servers"].number == 2
 
 
 # Guards against the same for an entry that is decoded but cannot be applied.
--- a/tests/test_relayed_reports.py
+++ b/tests/test_relayed_reports.py
@@ -283,7 +283,8 @@
         relay.view.apply([row], source="store")
         await wait_until(
             lambda: all(
-                item.view.latest_versions["servers"] >= 50 for item in relay_members
+                item.view.latest_versions["servers"].number >= 50
+                for item in relay_members
             ),
             timeout_s=2,
         )
--- /dev/null
+++ b/tests/test_restored_peers.py
@@ -0,0 +1,103 @@
+"""A restored store at VMs that get their rows from each other."""
+
+import asyncio
+
+from endivelug.forwarding.instances import REREGISTRATION_S
+from endivelug.forwarding.row_store import RowPage
+from forwarding_builders import (
+    configuration_document,
+    load_tables,
+    registration_document,
+    stored_row,
+)
+from router_process import wait_until
+from test_peers import run_scenario as run_two_routers
+from test_relayed_reports import run_scenario as run_deployment
+
+
+def configuration_row(number, version, era=0):
+    document = configuration_document(version=number)
+    return stored_row("op", "config", document, version, era)
+
+
+def entry_row(version, era=0, **changes):
+    return stored_row("servers", "e1", registration_document(**changes), version, era)
+
+
+def restore(router, table, *rows, version=50, era=1):
+    page = RowPage(rows=list(rows), version=version, era=era)
+    router.view.replace_table(table, page, source="store")
+
+
+# Guards against a VM that started after the return of the store, and forwards by the
+# older configuration of the copy: its row has the same version as those of its peers.
+def test_a_vm_that_read_the_copy_gets_the_configuration_in_force_from_a_peer():
+    async def scenario(one, two):
+        load_tables(one.view, 7)
+        one.view.apply([configuration_row(11, 60)], source="store")
+        restore(one, "op", configuration_row(8, 40, era=1))
+        restore(one, "servers", entry_row(41, era=1))
+        restore(two, "op", configuration_row(8, 40, era=1))
+        restore(two, "servers", entry_row(41, era=1))
+        assert two.view.configuration.version == 8
+        await wait_until(lambda: two.view.configuration.version == 11, 2.0)
+        assert one.view.configuration.version == 11
+
+    run_two_routers(scenario)
+
+
+# Guards against a VM that keeps the rows of the former era, because it is cut off from
+# the store and the versions of its peer are lower than its own.
+def test_a_vm_that_is_cut_off_gets_the_rows_of_the_new_era_from_a_peer():
+    async def scenario(one, two):
+        load_tables(one.view, 30)
+        await wait_until(lambda: two.view.complete)
+        restore(one, "op", configuration_row(30, 20, era=1))
+        restore(one, "servers", entry_row(21, era=1), version=21)
+        one.view.apply([configuration_row(31, 22, era=1)], source="store")
+        await wait_until(lambda: two.view.configuration.version == 31, 2.0)
+        assert two.view.eras.newest == 1
+        await wait_until(lambda: two.view.latest_versions["servers"].era == 1, 2.0)
+
+    run_two_routers(scenario)
+
+
+# Guards against members of a relay that miss a configuration of the new era, go back to
+# one of the copy, revive a draining upstream or drop one that is not in the copy.
+def test_members_meet_the_new_era_through_their_relay():
+    async def scenario(system):
+        relay = system.relays[0]
+        load_tables(relay.view, 7)
+        other = registration_document(address="127.0.0.1:2")
+        relay.view.apply([stored_row("servers", "e2", other, 9)], source="store")
+        relay.view.apply([configuration_row(11, 60)], source="store")
+        draining = entry_row(61, seq=9, state="draining")
+        relay.view.apply([draining], source="store")
+
+        def all_have(number, era):
+            return all(
+                router.view.configuration is not None
+                and router.view.configuration.version == number
+                and router.view.latest_versions["servers"].era == era
+                and router.view.registry.get("e1").draining
+                for router in system.members
+            )
+
+        await wait_until(lambda: all_have(11, 0), 2.0)
+        for router in system.relays:
+            # The other relays follow the store as well.
+            restore(router, "op", configuration_row(8, 40, era=1))
+            restore(router, "servers", entry_row(41, era=1, seq=6))
+        await wait_until(lambda: all_have(11, 1), 2.0)
+        for router in system.members:
+            assert set(router.view.registry.entries) == {"e1", "e2"}
+        await asyncio.sleep(REREGISTRATION_S)
+        for router in system.routers:
+            router.view.expire()
+            assert set(router.view.registry.entries) == {"e1"}
+        for router in system.relays:
+            router.view.apply([configuration_row(14, 45, era=1)], source="store")
+            router.announce()
+        await wait_until(lambda: all_have(14, 1), 2.0)
+
+    run_deployment(scenario)
