Read all tables anew when any answer or peer names a newer era

A configuration that was written at a version that was given out again stayed unapplied until the next change of the operator.

Cause: a feed went on from a version of the former era, and skipped the rows below it; a long poll of one table held up that table for up to 2 s although other answers had shown the restoration. Change: the place where a feed goes on has an era. An answer of another era than that, or than the newest, is dropped, and the table is read as a whole. All polls and pauses end when a newer era is met, whoever named it. An answer of an earlier era than the newest counts as a store that is not available. Ruled out: the store's client as the place for this, see docs/design/store-eras.md.

--- a/src/endivelug/forwarding/state_sync.py
+++ b/src/endivelug/forwarding/state_sync.py
@@ -6,7 +6,12 @@
 
 from endivelug.exceptions import TableOutcomeUnknown, TableUnavailable
 from endivelug.forwarding.cluster_view import ClusterView, LogLine
-from endivelug.forwarding.row_store import HistoryLost, RowStore
+from endivelug.forwarding.row_store import (
+    HistoryLost,
+    RowPage,
+    RowStore,
+    StoreVersion,
+)
 
 # Long-poll wait. A connection can go silent without a reset; this wait bounds the time
 # until that is detected.
@@ -46,7 +51,10 @@
         self.rng = rng
         self.log = log
         self.lost_since: dict[str, float] = {}
+        # Set for each table when a newer era is met, whoever named it.
+        self._newer_era = {table: asyncio.Event() for table in view.records.tables}
         store.on_answer = view.eras.observe
+        view.eras.on_newer.append(self._read_anew)
 
     @property
     def connected(self) -> bool:
@@ -66,38 +74,23 @@
             group.create_task(self._expire())
 
     async def _follow(self, table: str) -> None:
-        after: int | None = None
+        after: StoreVersion | None = None
         delay_s = RETRY_MIN_S
         while True:
             if table in self.view.loaded_tables and not self.must_follow():
                 self._stop_following(table)
                 await asyncio.sleep(NEED_CHECK_S)
                 continue
+            self._newer_era[table].clear()
             try:
-                if after is None:
-                    page = await self.store.read(table)
-                    self._feed_regained(table)
-                    self.view.replace_table(table, page, source="store")
-                else:
-                    # A lost feed is requested without a wait: an answer shows that the
-                    # store is back, even if nothing has changed.
-                    wait_s = 0.0 if table in self.lost_since else FEED_WAIT_S
-                    page = await self.store.changes(table, after=after, wait_s=wait_s)
-                    self._feed_regained(table)
-                    changed = self.view.apply(page.rows, source="store")
-                    if changed:
-                        await asyncio.sleep(CHANGE_PAUSE_S)
-                    elif page.rows:
-                        # Only heartbeats; let several collect for the next call.
-                        await asyncio.sleep(self._heartbeat_pause_s())
-                after = page.version
+                after = await self._advance(table, after)
                 delay_s = RETRY_MIN_S
             except HistoryLost as error:
                 self.log("feed-history-lost", table=table, reason=str(error))
                 after = None
             except (TableUnavailable, TableOutcomeUnknown) as error:
                 self._feed_lost(table, error)
-                await asyncio.sleep(delay_s * self.rng.uniform(0.5, 1.0))
+                await self._pause(table, delay_s * self.rng.uniform(0.5, 1.0))
                 delay_s = min(RETRY_MAX_S, delay_s * 2)
             except Exception as error:
                 # The feeds of the other tables go on.
@@ -105,6 +98,71 @@
                 after = None
                 await asyncio.sleep(RETRY_MAX_S)
 
+    async def _advance(
+        self, table: str, after: StoreVersion | None
+    ) -> StoreVersion | None:
+        """Read a table, or its changes after a version.
+
+        Returns the version up to which the rows were read, or None if the table has to
+        be read as a whole.
+        """
+        if after is None or after.era < self._newest_era:
+            page = await self.store.read(table)
+            if page.era < self._newest_era:
+                raise TableUnavailable(
+                    f"the answer is of era {page.era}, before era {self._newest_era}"
+                )
+            self._feed_regained(table)
+            self.view.replace_table(table, page, source="store")
+            return page.store_version
+        # A lost feed is requested without a wait: an answer shows that the store is
+        # back, even if nothing has changed.
+        wait_s = 0.0 if table in self.lost_since else FEED_WAIT_S
+        changes = await self._changes(table, after, wait_s)
+        if changes is None or not after.era == changes.era == self._newest_era:
+            # The feed would go on from a version that may have been given out again.
+            return None
+        self._feed_regained(table)
+        if self.view.apply(changes.rows, source="store"):
+            await self._pause(table, CHANGE_PAUSE_S)
+        elif changes.rows:
+            # Only heartbeats; let several collect for the next call.
+            await self._pause(table, self._heartbeat_pause_s())
+        return changes.store_version
+
+    async def _changes(
+        self, table: str, after: StoreVersion, wait_s: float
+    ) -> RowPage | None:
+        """Return the changes after a version; None if a newer era is met meanwhile."""
+        call = asyncio.create_task(
+            self.store.changes(table, after=after.number, wait_s=wait_s)
+        )
+        newer_era = asyncio.create_task(self._newer_era[table].wait())
+        try:
+            await asyncio.wait({call, newer_era}, return_when=asyncio.FIRST_COMPLETED)
+            return await call if call.done() else None
+        finally:
+            newer_era.cancel()
+            call.cancel()
+
+    async def _pause(self, table: str, seconds: float) -> None:
+        """Wait, but not longer than until a newer era is met."""
+        try:
+            async with asyncio.timeout(seconds):
+                await self._newer_era[table].wait()
+        except TimeoutError:
+            pass
+
+    @property
+    def _newest_era(self) -> int:
+        return self.view.eras.newest or 0
+
+    def _read_anew(self, before: int, era: int) -> None:
+        """Read all tables at once, because the store was restored."""
+        self.log("store-era", era=era, before=before)
+        for event in self._newer_era.values():
+            event.set()
+
     async def _expire(self) -> None:
         while True:
             await asyncio.sleep(EXPIRE_S)
