Fetch desired weights that a peer knows and this VM does not

A VM that started after the return of a store, and read its older copy, took replaced weights for the newest until the operator wrote the newer ones again.

Cause: the copy's row has the same version as the one under which the peers file what they know, so the VM fetched nothing; what peers report of the age of an unknown announcement was dropped. Change: such ages are kept for up to 60 s, and cause a fetch of the operator's rows, as a higher number of the configuration does. They apply once the version is known, so its time limit does not begin at the fetch. Evidence: test_a_vm_that_read_the_copy_gets_the_desired_weights_from_a_peer fails on the commit before ('the condition was not met in time').

--- a/src/endivelug/forwarding/neighbour.py
+++ b/src/endivelug/forwarding/neighbour.py
@@ -40,6 +40,9 @@
         Versions of its tables.
     configuration : int
         Number of the configuration in force there; 0 before the first one.
+    announcements : dict of (str, int) to float
+        Versions of desired weights that it knows and this VM does not, and when they
+        were announced.
     greeted, in_sync : bool
         Whether it was sent a first report without amounts, and a full report, after
         which it gets the changes.
@@ -71,6 +74,7 @@
     lease_until: float = 0.0
     tables: dict[str, StoreVersion] = field(default_factory=dict)
     configuration: int = 0
+    announcements: dict[tuple[str, int], float] = field(default_factory=dict)
     greeted: bool = False
     in_sync: bool = False
     number: int = NO_MEMBER
--- a/src/endivelug/forwarding/peer_reports.py
+++ b/src/endivelug/forwarding/peer_reports.py
@@ -22,7 +22,7 @@
 )
 from endivelug.forwarding.prompt_cache import PromptSegment
 from endivelug.forwarding.refused_callers import RefusedCallers
-from endivelug.forwarding.report_builder import ReportBuilder
+from endivelug.forwarding.report_builder import MAX_REPORTED_AGE_S, ReportBuilder
 from endivelug.forwarding.retry_budget import SharedRetryBudget
 from endivelug.forwarding.row_store import StoreVersion
 from endivelug.forwarding.shared_amounts import Amounts, SharedAmountTable
@@ -100,7 +100,9 @@
         for segment in segments:
             self._apply_segment(segment)
         for aged in report.desired_weights:
-            self.view.apply_weights_age(aged.model, aged.version, age_s=aged.age_s)
+            announced_at = self.clock() - aged.age_s
+            neighbour.announcements[aged.model, aged.version] = announced_at
+        self.apply_announcements(neighbour)
         if not forwards:
             return False
         self._forward(neighbour, notices, segments, news)
@@ -108,6 +110,18 @@
         prefills = any(segment.prefill_s for segment in segments)
         return bool(urgent_notices or news or prefills)
 
+    def apply_announcements(self, neighbour: Neighbour) -> None:
+        """Apply when desired weights were announced, once this VM knows them."""
+        now, unknown = self.clock(), {}
+        for (model, version), announced_at in neighbour.announcements.items():
+            desired = self.view.desired_weights.get(model)
+            if desired is not None and version <= desired.version:
+                age_s = now - announced_at
+                self.view.apply_weights_age(model, version, age_s=age_s)
+            elif now - announced_at < MAX_REPORTED_AGE_S:
+                unknown[model, version] = announced_at
+        neighbour.announcements = unknown
+
     def set_upstream(self, vm: str, is_upstream: bool) -> None:
         """Set whether the amounts of a neighbour are not passed on to relays."""
         self.view.loads.neighbours.set_relay(vm, is_upstream)
--- a/src/endivelug/forwarding/peer_rows.py
+++ b/src/endivelug/forwarding/peer_rows.py
@@ -25,12 +25,13 @@
 # time.
 ROWS_DELAY_S = 0.25
 ROWS_TIMEOUT_S = 1.0
-# A table that was fetched for the configuration is fetched again after this time at the
-# earliest.
+# The operator's table that was fetched for its content is fetched again after this time
+# at the earliest.
 REPEAT_S = 1.0
-# What a peer may be ahead in: the version of a table, or the configuration in force.
+# What a peer may be ahead in: the version of a table, or the configuration or desired
+# weights in force.
 _TABLE = "table"
-_CONFIGURATION = "configuration"
+_CONTENT = "content"
 
 
 class PeerRows:
@@ -65,8 +66,9 @@
         # The rows of a VM that has read an older copy of the store may have the same
         # versions as those of its peers.
         is_behind = neighbour.configuration > self.view.configuration_number
+        is_behind = is_behind or bool(neighbour.announcements)
         table = self.view.records.operator_table
-        self._consider(link, table, _CONFIGURATION, is_behind=is_behind)
+        self._consider(link, table, _CONTENT, is_behind=is_behind)
 
     def _consider(self, link: Link, table: str, what: str, *, is_behind: bool) -> None:
         """Fetch a table if this VM has been behind a peer for long enough."""
@@ -77,7 +79,7 @@
         since = self.behind_since.setdefault(key, now)
         delay_s = ROWS_DELAY_S if self.follows_store() else 0.0
         if now - since >= delay_s:
-            self._start_fetch(link, table, whole=what == _CONFIGURATION)
+            self._start_fetch(link, table, whole=what == _CONTENT)
 
     def forget(self, vm: str) -> None:
         """Drop the state of a disconnected peer."""
@@ -128,7 +130,7 @@
         self.behind_since.pop((vm, table, _TABLE), None)
         if whole:
             # The rows of the peer may not hold what it has in force.
-            self.behind_since[vm, table, _CONFIGURATION] = self.clock() + REPEAT_S
+            self.behind_since[vm, table, _CONTENT] = self.clock() + REPEAT_S
 
     def _after(self, table: str, *, whole: bool) -> StoreVersion:
         """Return the version up to which this VM has the rows of a table."""
--- a/tests/test_restored_peers.py
+++ b/tests/test_restored_peers.py
@@ -20,6 +20,11 @@
     return stored_row("op", "config", document, version, era)
 
 
+def weights_row(number, version, era=0):
+    document = {"model": "m", "version": number}
+    return stored_row("op", "version/m", document, version, era)
+
+
 def entry_row(version, era=0, **changes):
     return stored_row("servers", "e1", registration_document(**changes), version, era)
 
@@ -46,6 +51,27 @@
     run_two_routers(scenario)
 
 
+# Guards against a VM that started after the return of the store, and takes weights for
+# the newest that have been replaced; and against one that counts their age from then.
+def test_a_vm_that_read_the_copy_gets_the_desired_weights_from_a_peer():
+    async def scenario(one, two):
+        load_tables(one.view, 7)
+        one.view.apply([weights_row(4, 60), weights_row(5, 61)], source="store")
+        one.view.apply_weights_age("m", 5, age_s=3.0)
+        announced_at = one.view.desired_weights["m"].outdated_at(4)
+        for router in (one, two):
+            restore(router, "op", configuration_row(7, 40, 1), weights_row(4, 41, 1))
+            restore(router, "servers", entry_row(42, era=1))
+        await wait_until(lambda: two.view.desired_weights["m"].version == 5, 2.0)
+        await wait_until(
+            lambda: (
+                abs(two.view.desired_weights["m"].outdated_at(4) - announced_at) < 0.3
+            )
+        )
+
+    run_two_routers(scenario)
+
+
 # Guards against a VM that keeps the rows of the former era, because it is cut off from
 # the store and the versions of its peer are lower than its own.
 def test_a_vm_that_is_cut_off_gets_the_rows_of_the_new_era_from_a_peer():
