--- a/src/endivelug/forwarding/state_sync.py
+++ b/src/endivelug/forwarding/state_sync.py
@@ -159,7 +159,7 @@
 
     def _read_anew(self, before: int, era: int) -> None:
         """Read all tables at once, because the store was restored."""
-        self.log("store-era", era=era, before=before)
+        self.log("newer-era", era=era, before=before)
         for event in self._newer_era.values():
             event.set()
 
