Tell members in which era known content was read

A member of a relay could take an entry for news that an upstream wrote again after a restoration, although it was older than what the relay had told it: a draining upstream got requests from it until its next heartbeat.

Cause: the relay files what it knows under a version of the new era, and the member took that for content of the new era, within which versions decide. Change: rows between VMs carry the era in which their content was read. Content that is newer than the row of the store counts as kept (gauge rows_kept) also where it came from a peer of a former era. Evidence: test_an_entry_that_is_written_again_does_not_revive_an_upstream_at_a_ member fails without the field; the test of a configuration that only a peer of the former era knows passes before, except for the count of kept rows.

--- a/src/endivelug/forwarding/cached_rows.py
+++ b/src/endivelug/forwarding/cached_rows.py
@@ -116,7 +116,8 @@
 def file_row(row: StoredRow, record: Record, cached: CachedRow | None) -> CachedRow:
     """Return what to keep of a row whose content is the newest."""
     count = writer_count(record)
-    content_era = row.era
+    content_era = row.era if row.content_era is None else row.content_era
+    kept = False
     position = row.store_version
     changed = StoreVersion(era=row.era, number=row.changed or row.version)
     if cached is not None:
@@ -125,7 +126,7 @@
             count, content_era = _later(cached.count, row), cached.content_era
         position = max(position, cached.row.store_version)
         if position > row.store_version:
-            changed = position
+            changed, kept = position, True
         elif cached.record == record and cached.changed.era == row.era:
             changed = cached.changed
     return CachedRow(
@@ -134,6 +135,7 @@
         changed=changed,
         content_era=content_era,
         count=count,
+        kept=kept,
     )
 
 
--- a/src/endivelug/forwarding/peer_messages.py
+++ b/src/endivelug/forwarding/peer_messages.py
@@ -252,6 +252,8 @@
         Version of the row's last change other than a heartbeat.
     era : int
         Era of the store in which both versions were given out.
+    content_era : int
+        Era in which the sender, or who told it, read the content from the store.
     started_ms, number : int
         Highest count of the row's writer that the sender knows, as in ``WriterCount``;
         0 if it knows none.
@@ -263,6 +265,7 @@
     removed: bool
     changed: int
     era: int
+    content_era: int
     started_ms: int
     number: int
 
--- a/src/endivelug/forwarding/peer_rows.py
+++ b/src/endivelug/forwarding/peer_rows.py
@@ -164,6 +164,7 @@
         removed=cached.row.removed,
         changed=cached.changed.number,
         era=cached.row.era,
+        content_era=cached.content_era,
         started_ms=count.started_ms,
         number=count.number,
     )
@@ -179,5 +180,6 @@
         removed=row.removed,
         changed=row.changed,
         era=row.era,
+        content_era=row.content_era,
         count=None if count == WriterCount() else count,
     )
--- a/src/endivelug/forwarding/row_store.py
+++ b/src/endivelug/forwarding/row_store.py
@@ -55,6 +55,8 @@
         Era of the store that gave out both versions.
     count : WriterCount or None
         Highest count that a peer knew of the row's writer, for rows from peers.
+    content_era : int or None
+        Era in which a peer read the content from the store, for rows from peers.
     """
 
     table: str
@@ -65,6 +67,7 @@
     changed: int = 0
     era: int = 0
     count: WriterCount | None = None
+    content_era: int | None = None
 
     @property
     def store_version(self) -> StoreVersion:
--- a/tests/test_restored_peers.py
+++ b/tests/test_restored_peers.py
@@ -51,6 +51,22 @@
     run_two_routers(scenario)
 
 
+# Guards against losing a configuration that only a VM of the former era still knows.
+def test_a_configuration_of_the_former_era_is_taken_from_a_peer_by_its_number():
+    async def scenario(one, two):
+        load_tables(one.view, 7)
+        one.view.apply([configuration_row(11, 60)], source="store")
+        restore(two, "op", configuration_row(8, 40, era=1))
+        restore(two, "servers", entry_row(41, era=1))
+        await wait_until(lambda: two.view.configuration.version == 11, 2.0)
+        await wait_until(lambda: one.view.latest_versions["op"].era == 1, 2.0)
+        assert one.view.configuration.version == 11
+        assert two.view.latest_versions["op"].era == 1
+        assert two.view.rows.kept_rows() == 1
+
+    run_two_routers(scenario)
+
+
 # Guards against a VM that started after the return of the store, and takes weights for
 # the newest that have been replaced; and against one that counts their age from then.
 def test_a_vm_that_read_the_copy_gets_the_desired_weights_from_a_peer():
@@ -127,3 +143,21 @@
         await wait_until(lambda: all_have(14, 1), 2.0)
 
     run_deployment(scenario)
+
+
+# Guards against a member that takes an entry for newer which the store lists after the
+# copy, but which is older than what its relay had told it.
+def test_an_entry_that_is_written_again_does_not_revive_an_upstream_at_a_member():
+    async def scenario(one, two):
+        load_tables(one.view, 7)
+        one.view.apply([entry_row(60, seq=9, state="draining")], source="store")
+        restore(one, "op", configuration_row(7, 40, era=1))
+        restore(one, "servers", entry_row(41, era=1, seq=5))
+        await wait_until(lambda: two.view.complete)
+        await wait_until(lambda: two.view.registry.get("e1").draining)
+        two.view.apply([entry_row(43, era=1, seq=7)], source="store")
+        assert two.view.registry.get("e1").draining
+        two.view.apply([entry_row(44, era=1, seq=10)], source="store")
+        assert not two.view.registry.get("e1").draining
+
+    run_two_routers(scenario)
