Keep the count of a removal of which no entry was read

A VM that started after an upstream had gone was told only of its removal, by its relay. If the store then came back from a copy that still listed the upstream, the VM sent new requests to it.

A removal from a peer carries the highest count that the peer knows of the entry, but the count was dropped if the VM had no row of that key. So nothing was known to compare the entry of the copy with, and it was taken by its position. The count of a removal is now kept also without a row.

Evidence: the new test fails on (e2 is in use after the restoration) and passes with the change; an entry with a later count still brings the upstream back.

--- a/src/endivelug/forwarding/cached_rows.py
+++ b/src/endivelug/forwarding/cached_rows.py
@@ -115,6 +115,7 @@
 
 def file_row(row: StoredRow, record: Record, cached: CachedRow | None) -> CachedRow:
     """Return what to keep of a row whose content is the newest."""
+    known = cached.count if cached is not None else None
     count = writer_count(record)
     content_era = row.era if row.content_era is None else row.content_era
     kept = False
@@ -123,7 +124,7 @@
     if cached is not None:
         if count is None:
             # A removal or an unreadable row does not hide what was known before.
-            count, content_era = _later(cached.count, row), cached.content_era
+            content_era = cached.content_era
         position = max(position, cached.row.store_version)
         if position > row.store_version:
             changed, kept = position, True
@@ -134,7 +135,7 @@
         record=record,
         changed=changed,
         content_era=content_era,
-        count=count,
+        count=_later(known, row) if count is None else count,
         kept=kept,
     )
 
@@ -153,10 +154,13 @@
 
 
 def _later(known: WriterCount | None, row: StoredRow) -> WriterCount | None:
-    """Return the higher of the known count and that which a peer knew of a row."""
-    if known is None or row.count is None:
-        return known
-    return max(known, row.count)
+    """Return the higher of the known count and that which a peer knew of a row.
+
+    Either is None if it is not known.
+    """
+    if known is None:
+        return row.count
+    return known if row.count is None else max(known, row.count)
 
 
 def _at(row: StoredRow, position: StoreVersion) -> StoredRow:
--- a/tests/test_restored_rows.py
+++ b/tests/test_restored_rows.py
@@ -33,6 +33,11 @@
     return stored_row("servers", "e1", registration_document(**changes), version, era)
 
 
+def entry_2(version, era=1, **changes):
+    document = registration_document(address="127.0.0.1:2", **changes)
+    return stored_row("servers", "e2", document, version, era)
+
+
 def removal(version, era=0, **changes):
     values = {"table": "servers", "key": "e1", "value": b"", "removed": True}
     return StoredRow(version=version, era=era, **{**values, **changes})
@@ -223,3 +228,15 @@
     assert serving(view) == []
     apply(view, removal(4, era=1))
     assert view.registry.get("e1") is None
+
+
+# Guards against new requests to an upstream of which this VM was told only that it is
+# gone, and which the copy of a later era lists.
+def test_the_copy_does_not_list_an_upstream_whose_removal_alone_was_read():
+    view = make_view(ManualClock())
+    count = WriterCount(started_ms=1000, number=90)
+    view.apply([removal(61, key="e2", count=count)], source="peer/vm2")
+    restore(view, "servers", entry_row(50, era=1), entry_2(52, seq=88))
+    assert serving(view) == ["e1"]
+    apply(view, entry_2(56, seq=91))
+    assert serving(view) == ["e1", "e2"]
