Read late registrations before the time for them is over

An upstream that an older copy of the store lacks has 2.5 s to register again. In a deployment with 60 upstreams, one that registered 2.25 s after the return was dropped at 2.5 s, although the store listed it.

The feed pauses for up to 1.0 s after rows that are only heartbeats, so the registration was read after the time was over. While an entry is removed provisionally, the pause now ends 0.1 s before that time, and later ones last 0.1 s until the entry is dropped or back. The pauses before that are not shortened, as calls to the store are priced and limited.

--- a/src/endivelug/forwarding/instances.py
+++ b/src/endivelug/forwarding/instances.py
@@ -203,6 +203,10 @@
         self._delete(known)
         return known.instance
 
+    def has_unregistered(self) -> bool:
+        """Return whether any instance is removed provisionally."""
+        return not all(entry.registered for entry in self.entries.values())
+
     def expire(self, *, now: float) -> list[Instance]:
         """Remove and return the instances that did not register again in time."""
         removed_instances: list[Instance] = []
--- a/src/endivelug/forwarding/state_sync.py
+++ b/src/endivelug/forwarding/state_sync.py
@@ -171,7 +171,14 @@
     def _heartbeat_pause_s(self) -> float:
         instances = len(self.view.registry.entries)
         pause_s = max(HEARTBEAT_PAUSE_MIN_S, instances / INSTANCES_PER_PAUSE_S)
-        return min(HEARTBEAT_PAUSE_MAX_S, pause_s)
+        pause_s = min(HEARTBEAT_PAUSE_MAX_S, pause_s)
+        registry = self.view.registry
+        if not registry.has_unregistered():
+            return pause_s
+        # An upstream that registers again in its time has to be read before the time
+        # is over.
+        remaining_s = registry.provisional_until - self.view.clock()
+        return min(pause_s, max(CHANGE_PAUSE_S, remaining_s - CHANGE_PAUSE_S))
 
     def _stop_following(self, table: str) -> None:
         """Stop following a table whose rows come from a relay."""
--- a/tests/test_restored_feeds.py
+++ b/tests/test_restored_feeds.py
@@ -2,13 +2,21 @@
 
 import asyncio
 import contextlib
+import itertools
 import random
 import time
 
 from endivelug.forwarding.cluster_view import ClusterView
 from endivelug.forwarding.connection_pool import ConnectionPool
 from endivelug.forwarding.row_store import RowPage
-from endivelug.forwarding.state_sync import FEED_WAIT_S, StateSync
+from endivelug.forwarding.state_sync import (
+    EXPIRE_S,
+    FEED_WAIT_S,
+    HEARTBEAT_PAUSE_MAX_S,
+    HEARTBEAT_PAUSE_MIN_S,
+    INSTANCES_PER_PAUSE_S,
+    StateSync,
+)
 from endivelug.platform.records import PlatformRecords
 from endivelug.platform.store import PlatformStore
 from forwarding_builders import (
@@ -146,6 +154,21 @@
     asyncio.run(run_with_store(scenario))
 
 
+# Guards against a new configuration that waits for the end of a pause after heartbeats,
+# although a peer has shown that the store was restored.
+def test_a_newer_era_ends_the_pause_after_heartbeats():
+    async def scenario(store, view, sync):
+        heartbeat = registration_document(seq=7)
+        store.rows["servers"] = [stored_row("servers", "e1", heartbeat, 12)]
+        await asyncio.sleep(HEARTBEAT_PAUSE_MIN_S / 2)
+        store.era = 1
+        view.eras.observe(1)
+        limit_s = HEARTBEAT_PAUSE_MIN_S / 3
+        await wait_until(lambda: ("servers", 1) in store.reads, limit_s)
+
+    asyncio.run(run_with_store(scenario))
+
+
 # Guards against applying an answer of the former era that comes late.
 def test_an_answer_of_the_former_era_is_dropped():
     async def scenario(store, view, sync):
@@ -158,3 +181,35 @@
         await wait_until(lambda: sync.connected)
 
     asyncio.run(run_with_store(scenario))
+
+
+async def send_heartbeats(standin):
+    for sequence in itertools.count(2):
+        standin.put("servers", "e1", registration_document(seq=sequence))
+        await asyncio.sleep(0.05)
+
+
+# Guards against dropping an upstream that registers again in its time after a
+# restoration, because the feed pauses after the heartbeats of the others.
+def test_an_upstream_that_registers_late_in_its_time_is_kept():
+    async def scenario(standin, view, log):
+        # With so many the feed pauses for the longest time.
+        for number in range(int(INSTANCES_PER_PAUSE_S * HEARTBEAT_PAUSE_MAX_S)):
+            address = f"127.0.0.1:{number + 100}"
+            standin.put("servers", address, registration_document(address=address))
+        copy = standin.take_copy()
+        other = registration_document(address="127.0.0.1:2")
+        standin.put("servers", "e2", other)
+        await wait_until(lambda: view.registry.get("e2") is not None)
+        standin.restore(copy)
+        await wait_until(lambda: not view.registry.entries["e2"].registered)
+        registers_at = view.registry.provisional_until - 0.25
+        job = asyncio.create_task(send_heartbeats(standin))
+        await asyncio.sleep(registers_at - time.monotonic())
+        standin.put("servers", "e2", other)
+        await asyncio.sleep(2 * EXPIRE_S + 0.25)
+        job.cancel()
+        assert "instance-gone" not in log.events()
+        assert view.registry.entries["e2"].registered
+
+    run_with_vm(scenario)
