Believe an era only when the store names it

One faulty peer that named an era which the store had not reached ended all reads of the store at its neighbours, and they passed the era on: no VM applied a configuration any more, and restarting VMs one at a time did not help. Rows of such an era shut out those of the store in the same way.

Reports and rows of peers set the floor below which answers of the store were dropped. Now only an answer of the store sets it, and only such an era is passed on in reports. An era that a peer names still ends the waits and has the tables read anew. If the answer to a request that was sent after that names an earlier era, the named one is refuted: rows that are filed under it are filed before those of the answer, and it is ignored until the store names it. A member, which does not follow the store, reads a table once after 10 to 30 s if no answer has confirmed its era; it follows the store while the tables of its relay are of an era that it ignores.

Not covered: absurd numbers of versions or configurations within an era.

--- a/src/endivelug/forwarding/cached_rows.py
+++ b/src/endivelug/forwarding/cached_rows.py
@@ -153,6 +153,19 @@
     )
 
 
+def file_before(cached: CachedRow, era: int) -> CachedRow:
+    """Return a row of a later era, filed before all versions of an era."""
+    start = StoreVersion(era=era)
+    return CachedRow(
+        row=_at(cached.row, min(cached.row.store_version, start)),
+        record=cached.record,
+        changed=min(cached.changed, start),
+        content_era=min(cached.content_era, era),
+        count=cached.count,
+        kept=cached.kept,
+    )
+
+
 def _later(known: WriterCount | None, row: StoredRow) -> WriterCount | None:
     """Return the higher of the known count and that which a peer knew of a row.
 
--- a/src/endivelug/forwarding/cluster_view.py
+++ b/src/endivelug/forwarding/cluster_view.py
@@ -27,7 +27,12 @@
 )
 from endivelug.forwarding.routes import CacheStore, RoutingConfiguration
 from endivelug.forwarding.row_cache import LogLine, RowCache
-from endivelug.forwarding.row_store import RowPage, StoredRow, StoreVersion
+from endivelug.forwarding.row_store import (
+    STORE_SOURCE,
+    RowPage,
+    StoredRow,
+    StoreVersion,
+)
 from endivelug.forwarding.store_eras import StoreEras
 
 __all__ = ["ClusterView", "LogLine"]
@@ -76,7 +81,10 @@
         self.configuration: RoutingConfiguration | None = None
         self.desired_weights: dict[str, DesiredWeights] = {}
         self.registry = InstanceRegistry()
-        self.eras = StoreEras(clock=clock)
+        self.eras = StoreEras(
+            clock=clock,
+            on_unusable=lambda peer, era: self.log("era-unusable", peer=peer, era=era),
+        )
         self.loads = InstanceLoads()
         self.caches = PromptCaches()
         self.observed: dict[tuple[tuple[str, int], str], int] = {}
@@ -113,7 +121,10 @@
 
     def replace_table(self, table: str, page: RowPage, *, source: str) -> None:
         """Apply a full read of a table; remove rows that it does not contain."""
-        self.eras.observe(page.era)
+        if source == STORE_SOURCE:
+            self.eras.observe(page.era)
+        else:
+            self.eras.hear(page.era, peer=source)
         if self.rows.replace_table(table, page, source=source):
             self.on_change()
 
@@ -124,6 +135,15 @@
             self.on_change()
         return changed
 
+    def withdraw_eras(self, table: str, era: int) -> None:
+        """Let the store's rows of an era replace those of later eras.
+
+        A peer named the later ones, and the store refuted them.
+        """
+        self.rows.withdraw_eras(table, era)
+        if table == self.records.instance_table:
+            self.registry.withdraw_eras(era)
+
     def expire(self) -> None:
         """Remove the instances that did not register again after an outage."""
         for instance in self.registry.expire(now=self.clock()):
--- a/src/endivelug/forwarding/instances.py
+++ b/src/endivelug/forwarding/instances.py
@@ -203,6 +203,14 @@
         self._delete(known)
         return known.instance
 
+    def withdraw_eras(self, era: int) -> None:
+        """Let the entries of an era replace those of later eras."""
+        start = StoreVersion(era=era)
+        for entry in self.entries.values():
+            entry.row_version = min(entry.row_version, start)
+        for name, version in self.removed.items():
+            self.removed[name] = min(version, start)
+
     def has_unregistered(self) -> bool:
         """Return whether any instance is removed provisionally."""
         return not all(entry.registered for entry in self.entries.values())
--- a/src/endivelug/forwarding/peer_messages.py
+++ b/src/endivelug/forwarding/peer_messages.py
@@ -182,7 +182,7 @@
     tables : list of TableVersion
         Table versions that have changed.
     store_era : int
-        Newest era of the store that the sender has met; 0 before the first answer.
+        Newest era that the store named to the sender; 0 before the first answer.
     configuration : int
         Number of the configuration in force at the sender; 0 before the first one.
     amounts : list of AmountReport
--- a/src/endivelug/forwarding/peer_reports.py
+++ b/src/endivelug/forwarding/peer_reports.py
@@ -84,7 +84,10 @@
             Whether this VM is a relay that passes on the reports of others.
         """
         self._update_neighbour(neighbour, report)
-        self.view.eras.observe(report.store_era)
+        self.view.eras.hear(report.store_era, peer=vm)
+        for version in neighbour.tables.values():
+            # Logs one that cannot be used; the versions are checked when they are.
+            self.view.eras.accepts(version.era, peer=vm)
         is_upstream = neighbour.is_relay or not forwards
         self.set_upstream(vm, is_upstream)
         self.budget.represented_vms[vm] = neighbour.vms
--- a/src/endivelug/forwarding/peer_rows.py
+++ b/src/endivelug/forwarding/peer_rows.py
@@ -62,6 +62,7 @@
         """Compare what a peer has with what this VM has, and fetch what is newer."""
         for table, version in neighbour.tables.items():
             is_behind = version > self.view.rows.latest_version(table)
+            is_behind = is_behind and self.view.eras.is_credible(version.era)
             self._consider(link, table, _TABLE, is_behind=is_behind)
         # The rows of a VM that has read an older copy of the store may have the same
         # versions as those of its peers.
@@ -126,7 +127,7 @@
         if not isinstance(reply, RowsReply) or reply.table != table:
             self.log("peer-rows-failed", peer=vm, table=table, reason="wrong reply")
             return
-        self._apply(reply, source=f"peer/{vm}")
+        self._apply(reply, vm)
         self.behind_since.pop((vm, table, _TABLE), None)
         if whole:
             # The rows of the peer may not hold what it has in force.
@@ -138,11 +139,24 @@
             return StoreVersion()
         return self.view.rows.latest_version(table)
 
-    def _apply(self, reply: RowsReply, *, source: str) -> None:
-        rows, view = [_stored_row(reply.table, row) for row in reply.rows], self.view
+    def _apply(self, reply: RowsReply, vm: str) -> None:
+        view, source = self.view, f"peer/{vm}"
+        if not view.eras.accepts(reply.era, peer=vm):
+            return
+        rows = [
+            _stored_row(reply.table, row)
+            for row in reply.rows
+            if self._has_usable_eras(row, reply, vm)
+        ]
+        unusable = len(reply.rows) - len(rows)
+        if unusable:
+            reason = f"{unusable} rows have unusable eras"
+            self.log("peer-rows-failed", peer=vm, table=reply.table, reason=reason)
+        view.eras.hear(reply.era, peer=vm)
         era = view.rows.latest_version(reply.table).era
         is_loaded = reply.table in view.loaded_tables
-        if reply.complete and reply.era >= era:
+        # The rows that are left out would be taken for removed ones.
+        if reply.complete and not unusable and reply.era >= era:
             number = max((row.version for row in rows), default=0)
             page = RowPage(rows=rows, version=number, era=reply.era)
             view.replace_table(reply.table, page, source=source)
@@ -154,6 +168,13 @@
         version = StoreVersion(era=reply.era, number=reply.version)
         view.rows.advance_version(reply.table, version)
 
+    def _has_usable_eras(self, row: TableRow, reply: RowsReply, vm: str) -> bool:
+        """Return whether the eras of a row can be those of rows of its table."""
+        eras = self.view.eras
+        if not all(eras.accepts(era, peer=vm) for era in (row.era, row.content_era)):
+            return False
+        return max(row.era, row.content_era) <= reply.era
+
 
 def _table_row(cached: CachedRow) -> TableRow:
     count = cached.count or WriterCount()
--- a/src/endivelug/forwarding/peers.py
+++ b/src/endivelug/forwarding/peers.py
@@ -291,7 +291,7 @@
             follows_store=self.follows_store() and self.store_connected(),
             rows_age_s=int(self.rows_source.rows_age_s()),
             holds_lease=self.builder.lease_remaining_s() > 0,
-            store_era=self.view.eras.newest or 0,
+            store_era=self.view.eras.confirmed or 0,
             configuration=self.view.configuration_number,
         )
 
--- a/src/endivelug/forwarding/report_stream.py
+++ b/src/endivelug/forwarding/report_stream.py
@@ -47,7 +47,7 @@
     holds_lease : bool
         Whether this VM certainly holds the order lease.
     store_era : int
-        Newest era of the store that this VM has met; 0 before the first answer.
+        Newest era that the store named to this VM; 0 before the first answer.
     configuration : int
         Number of the configuration in force; 0 before the first one.
     """
--- a/src/endivelug/forwarding/row_cache.py
+++ b/src/endivelug/forwarding/row_cache.py
@@ -11,6 +11,7 @@
 from endivelug.forwarding.cached_rows import (
     CachedRow,
     Verdict,
+    file_before,
     file_known,
     file_row,
     judge,
@@ -114,6 +115,15 @@
             self.latest_versions[table] = version
             self.on_version_advanced()
 
+    def withdraw_eras(self, table: str, era: int) -> None:
+        """File the rows of later eras, which do not exist, before those of an era."""
+        for key, cached in self.rows.items():
+            if cached.row.table == table and cached.row.era > era:
+                self.rows[key] = file_before(cached, era)
+        if self.latest_version(table).era > era:
+            self.latest_versions[table] = StoreVersion(era=era)
+            self.on_version_advanced()
+
     def log_unreadable(self, row: StoredRow, reason: str) -> None:
         """Log that a row was not applied."""
         self.log(
--- a/src/endivelug/forwarding/row_store.py
+++ b/src/endivelug/forwarding/row_store.py
@@ -10,6 +10,9 @@
 
 from endivelug.exceptions import EndivelugError
 
+# Source of rows that this VM has read from the store itself.
+STORE_SOURCE = "store"
+
 
 class HistoryLost(EndivelugError):
     """The feed can't continue from this version; the table has to be read again."""
--- a/src/endivelug/forwarding/rows_source.py
+++ b/src/endivelug/forwarding/rows_source.py
@@ -89,7 +89,16 @@
         if self.overlay.is_relay:
             return self._first_relay()
         neighbour = self.neighbours.get(self.overlay.relay or "")
-        return neighbour if neighbour is not None and neighbour.is_relay else None
+        if neighbour is None or not neighbour.is_relay:
+            return None
+        return neighbour if self._has_credible_tables(neighbour) else None
+
+    def _has_credible_tables(self, neighbour: Neighbour) -> bool:
+        """Return whether rows from a neighbour would be applied."""
+        eras = self.view.eras
+        return all(
+            eras.is_credible(version.era) for version in neighbour.tables.values()
+        )
 
     def _first_relay(self) -> Neighbour | None:
         """Return the first relay of the data centre, unless it is this VM.
@@ -99,6 +108,8 @@
         """
         for name in self.overlay.preceding_relays(now=self.clock()):
             neighbour = self.neighbours.get(name)
-            if neighbour is not None and neighbour.follows_store:
+            if neighbour is None or not neighbour.follows_store:
+                continue
+            if self._has_credible_tables(neighbour):
                 return neighbour
         return None
--- a/src/endivelug/forwarding/state_sync.py
+++ b/src/endivelug/forwarding/state_sync.py
@@ -7,6 +7,7 @@
 from endivelug.exceptions import TableOutcomeUnknown, TableUnavailable
 from endivelug.forwarding.cluster_view import ClusterView, LogLine
 from endivelug.forwarding.row_store import (
+    STORE_SOURCE,
     HistoryLost,
     RowPage,
     RowStore,
@@ -29,6 +30,10 @@
 INSTANCES_PER_PAUSE_S = 60
 # Interval at which a VM that gets its rows from a relay checks whether it still does.
 NEED_CHECK_S = 0.2
+# Time after which such a VM reads a table whose era only peers have named. It is drawn
+# from this range, so that the VMs do not read at the same time.
+CONFIRM_MIN_S = 10.0
+CONFIRM_MAX_S = 30.0
 
 
 class StateSync:
@@ -51,6 +56,7 @@
         self.rng = rng
         self.log = log
         self.lost_since: dict[str, float] = {}
+        self._confirm_at: dict[str, float] = {}
         # Set for each table when a newer era is met, whoever named it.
         self._newer_era = {table: asyncio.Event() for table in view.records.tables}
         store.on_answer = view.eras.observe
@@ -79,6 +85,7 @@
         while True:
             if table in self.view.loaded_tables and not self.must_follow():
                 self._stop_following(table)
+                await self._confirm_era(table)
                 await asyncio.sleep(NEED_CHECK_S)
                 continue
             self._newer_era[table].clear()
@@ -106,30 +113,61 @@
         Returns the version up to which the rows were read, or None if the table has to
         be read as a whole.
         """
-        if after is None or after.era < self._newest_era:
-            page = await self.store.read(table)
-            if page.era < self._newest_era:
-                raise TableUnavailable(
-                    f"the answer is of era {page.era}, before era {self._newest_era}"
-                )
-            self._feed_regained(table)
-            self.view.replace_table(table, page, source="store")
-            return page.store_version
+        if after is None or after.era < self._named_era(table):
+            return await self._read_whole(table)
         # A lost feed is requested without a wait: an answer shows that the store is
         # back, even if nothing has changed.
         wait_s = 0.0 if table in self.lost_since else FEED_WAIT_S
         changes = await self._changes(table, after, wait_s)
-        if changes is None or not after.era == changes.era == self._newest_era:
+        if changes is None or not after.era == changes.era == self._named_era(table):
             # The feed would go on from a version that may have been given out again.
             return None
         self._feed_regained(table)
-        if self.view.apply(changes.rows, source="store"):
+        if self.view.apply(changes.rows, source=STORE_SOURCE):
             await self._pause(table, CHANGE_PAUSE_S)
         elif changes.rows:
             # Only heartbeats; let several collect for the next call.
             await self._pause(table, self._heartbeat_pause_s())
         return changes.store_version
 
+    async def _read_whole(self, table: str) -> StoreVersion:
+        """Read and apply a table as a whole; return its version."""
+        eras = self.view.eras
+        named = {eras.newest or 0, self.view.rows.latest_version(table).era}
+        page = await self.store.read(table)
+        floor = eras.confirmed or 0
+        if page.era < floor:
+            raise TableUnavailable(
+                f"the answer is of era {page.era}, before era {floor}"
+            )
+        self._feed_regained(table)
+        refuted = [era for era in named if era > page.era]
+        if refuted:
+            # The store would have named an era that had begun before the request.
+            eras.refute(min(refuted))
+            self.view.withdraw_eras(table, page.era)
+            self.log("era-refuted", table=table, era=min(refuted), confirmed=page.era)
+        self.view.replace_table(table, page, source=STORE_SOURCE)
+        return page.store_version
+
+    async def _confirm_era(self, table: str) -> None:
+        """Read a table from the store if its era has come from peers alone for long.
+
+        Otherwise rows of an era that does not exist would shut out those of the store.
+        """
+        now = self.view.clock()
+        if self.view.rows.latest_version(table).era <= (self.view.eras.confirmed or 0):
+            self._confirm_at.pop(table, None)
+            return
+        delay_s = self.rng.uniform(CONFIRM_MIN_S, CONFIRM_MAX_S)
+        if now < self._confirm_at.setdefault(table, now + delay_s):
+            return
+        self._confirm_at[table] = now + delay_s
+        try:
+            await self._read_whole(table)
+        except (TableUnavailable, TableOutcomeUnknown) as error:
+            self.log("feed-failed", table=table, reason=str(error))
+
     async def _changes(
         self, table: str, after: StoreVersion, wait_s: float
     ) -> RowPage | None:
@@ -153,9 +191,10 @@
         except TimeoutError:
             pass
 
-    @property
-    def _newest_era(self) -> int:
-        return self.view.eras.newest or 0
+    def _named_era(self, table: str) -> int:
+        """Return the newest era that the store, a peer or the known rows name."""
+        newest = self.view.eras.newest or 0
+        return max(newest, self.view.rows.latest_version(table).era)
 
     def _read_anew(self, before: int, era: int) -> None:
         """Read all tables at once, because the store was restored."""
