--- a/src/endivelug/forwarding/front_server.py
+++ b/src/endivelug/forwarding/front_server.py
@@ -21,8 +21,8 @@
 from endivelug.forwarding.buffers.idle_connections import IdleConnections
 from endivelug.forwarding.buffers.lingering_close import LingeringCloser
 from endivelug.forwarding.buffers.request_reader import RequestReader
-from endivelug.forwarding.cluster_view import MAX_LOGGED_REASON, LogLine
 from endivelug.forwarding.response_writer import Writer
+from endivelug.forwarding.row_cache import MAX_LOGGED_REASON, LogLine
 from endivelug.forwarding.upstream_connection import Headers
 
 # Longer than the idle time that the configuration grants to callers; the limit of file
--- a/src/endivelug/forwarding/shutdown.py
+++ b/src/endivelug/forwarding/shutdown.py
@@ -7,8 +7,8 @@
 from types import FrameType
 from typing import Any
 
-from endivelug.forwarding.cluster_view import MAX_LOGGED_REASON
 from endivelug.forwarding.decision_log import DecisionLog
+from endivelug.forwarding.row_cache import MAX_LOGGED_REASON
 
 # Time that each part gets to close at least, and at most if the grace period allows it.
 MIN_CLOSE_S = 0.1
--- a/src/endivelug/platform/program.py
+++ b/src/endivelug/platform/program.py
@@ -11,10 +11,10 @@
 
 import endivelug
 from endivelug.exceptions import SettingsError
-from endivelug.forwarding.cluster_view import MAX_LOGGED_REASON
 from endivelug.forwarding.connection_pool import ConnectionPool
 from endivelug.forwarding.decision_log import DecisionLog
 from endivelug.forwarding.node import Node
+from endivelug.forwarding.row_cache import MAX_LOGGED_REASON
 from endivelug.forwarding.shutdown import LAST_LINES_S
 from endivelug.platform.engine_calls import EngineCalls
 from endivelug.platform.header_format import HeaderFormat
--- a/tests/soak/scenarios.py
+++ b/tests/soak/scenarios.py
@@ -10,6 +10,7 @@
 from .answering import Answering
 from .faults import Faults
 from .proxy import Mode
+from .restored_store import restore_store
 from .stop_courses import COURSES, run_courses
 from .upstreams import SoakUpstream
 
@@ -125,4 +126,5 @@
     "hold": _hold,
     "planned-stops": _stops(*COURSES),
     **{name: _stops(name) for name in COURSES},
+    "restored-store": restore_store,
 }
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -8,7 +8,8 @@
 from collections.abc import Awaitable, Callable
 from weakref import WeakKeyDictionary
 
-from platform_standins import Exchange, StoreStandIn, UpstreamStandIn, response_bytes
+from platform_standins import Exchange, UpstreamStandIn, response_bytes
+from store_standin import StoreStandIn
 
 from .answering import FAILURE_BODY, Answering
 from .kinds import KINDS_BY_TARGET
@@ -71,6 +72,8 @@
         self.started_ms = 0
         self.version = 1
         self.sequence = 0
+        # Number of the last entry in the registry.
+        self.entry_number = 0
         self.fencing = 0
         self.busy = False
         self.state = "ready"
@@ -150,6 +153,7 @@
 
     def register(self) -> None:
         """Write the registration to the store."""
+        self.entry_number += 1
         self.store.put(
             "servers",
             self.instance,
@@ -164,7 +168,7 @@
                 "models": [{"name": "m", "version": self.version, "adapters": []}]
                 if self.engine
                 else [],
-                "seq": self.sequence,
+                "seq": self.entry_number,
                 "born": self.started_ms,
             },
         )
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from forwarding_builders import configuration_document
-from platform_standins import StoreStandIn, running_store
+from store_standin import StoreStandIn, running_store
 
 from .callers import Callers
 from .disturbances import Disturbances, store_path_of
@@ -160,6 +160,10 @@
         for key in ORGANISATIONS:
             allowed = self.changing_key_allowed or key != CHANGING_KEY
             self.key_periods.append(KeyPeriod(key=key, allowed=allowed, begins_at=now))
+        self.write_configuration()
+
+    def write_configuration(self) -> None:
+        """Write the newest configuration, also if the store has lost it."""
         self.store.put("op", "config", self._document())
 
     def _document(self) -> dict[str, Any]:
--- a/tests/test_node_start.py
+++ b/tests/test_node_start.py
@@ -8,8 +8,8 @@
 from endivelug.forwarding.shutdown import Shutdown
 from endivelug.platform.program import make_platform
 from forwarding_builders import LogRecorder, configuration_document
-from platform_standins import running_store
 from router_process import make_settings, metrics_port, wait_until
+from store_standin import running_store
 
 __all__ = ["metrics_port"]
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,6 +13,7 @@
 from soak.proxy import Cut
 from soak.retry_rule import RetryRule
 from soak.runs import Passage, Run, UpstreamRecord
+from soak.scenarios import SCENARIOS
 
 # Add each seed that violated a guarantee, with a comment on the cause. Seed 1: an
 # upstream's own failure is passed on with a status that promises "not run".
@@ -345,3 +346,21 @@
         outcome, runs=[make_run(at=99.0, ended_at=107.2)], record=record, stops=stops
     )
     assert violations == []
+
+
+# Guards against routers that go back to the copy of a restored store, or miss what it
+# confirms afterwards, while requests go on.
+def test_no_guarantee_is_violated_while_the_store_is_restored(tmp_path):
+    logging.getLogger("tornado").setLevel(logging.CRITICAL)
+    result = asyncio.run(
+        soak(
+            seed=1,
+            seconds=SECONDS,
+            routers=3,
+            folder=tmp_path,
+            scenario=SCENARIOS["restored-store"],
+        )
+    )
+    assert any("restore store" in line for _, line in result.faults)
+    assert result.violations == []
+    assert result.unexpected_exits == []
