Let fencing numbers rise across restorations of the store

Engines would refuse every order (412) after the store came back from a copy without the last holders: the next holder counts on from an older number, or from 1, and no weights are loaded until it has passed the old ones.

Cause: the fencing number was the one of the row plus one, and the row goes back. A store that names no era, and the agents' table, count as before. The interface of the lease's table has the version that its last answer stated. Ruled out: the highest number in reports of peers fails if all VMs restart.

--- a/src/endivelug/lease_keeper.py
+++ b/src/endivelug/lease_keeper.py
@@ -10,13 +10,22 @@
 from endivelug.leases import Lease, LeaseWrite
 from endivelug.transactions import (
     Row,
+    TableVersion,
     Transaction,
     TransactionResult,
 )
 
 
 class LeaseStore(Protocol):
-    """The operations of ``Table`` that the lease needs."""
+    """The operations of ``Table`` that the lease needs.
+
+    Attributes
+    ----------
+    version : TableVersion
+        Version that the table stated with its last answer.
+    """
+
+    version: TableVersion
 
     async def get(self, key: str) -> Row | None:
         """Return the row of a key, or None."""
@@ -88,7 +97,7 @@
                 row = await self.table.get(self.lease.key)
             except TableUnavailable:
                 return
-            self.lease.observe(row, self.clock())
+            self.lease.observe(row, self.clock(), self.table.version)
         write = self.lease.next_write(self.clock(), nonce=self.rng.randbytes(8))
         if write is not None:
             await self._write(write)
@@ -109,4 +118,4 @@
         except (TableUnavailable, TableOutcomeUnknown):
             self.lease.invalidate()
             return
-        self.lease.apply_result(write, result, self.clock())
+        self.lease.apply_result(write, result, self.clock(), self.table.version)
--- a/src/endivelug/leases.py
+++ b/src/endivelug/leases.py
@@ -12,18 +12,22 @@
 
 import cbor2
 
+from endivelug.fencing_numbers import MAX_FENCING_ERA, next_fencing
 from endivelug.transactions import (
     Absent,
     Condition,
     Get,
     Put,
     Row,
+    TableVersion,
     Transaction,
     TransactionResult,
     ValueEquals,
 )
 
 RECORD_VERSION = 1
+# Version of a table that is never restored.
+FIRST_ERA = TableVersion()
 
 
 def lease_key(data_centre: str) -> str:
@@ -40,7 +44,8 @@
     holder : str
         Name of the VM that holds the lease; empty after it resigned.
     fencing : int
-        Fencing number, incremented by one whenever the lease is acquired.
+        Fencing number, which rises whenever the lease is acquired; see
+        ``fencing_numbers``.
     nonce : bytes
         Unique to each write, so that every renewal changes the row.
     """
@@ -120,6 +125,8 @@
         Last known value of the row; None if the row did not exist.
     row_changed_at : float
         Time at which this value was first read or was written by this VM.
+    version : TableVersion
+        Version of the table that was stated with the last read or write of the row.
     row_is_fresh : bool
         Whether ``row_value`` may be used for a write; False requires a read first.
     """
@@ -144,6 +151,7 @@
         self.row_value: bytes | None = None
         self.row_changed_at = float("-inf")
         self.row_is_fresh = False
+        self.version = TableVersion()
         self._pending_writes: dict[bytes, LeaseWrite] = {}
 
     @property
@@ -182,9 +190,22 @@
             return True
         return self.remaining_s(now) > self.order_timeout_s + self.clock_bound_s
 
-    def observe(self, row: Row | None, now: float) -> None:
-        """Update the state from a read of the row; ``now`` is a time after the read."""
+    def observe(
+        self, row: Row | None, now: float, version: TableVersion = FIRST_ERA
+    ) -> None:
+        """Update the state from a read of the row.
+
+        Parameters
+        ----------
+        row : Row or None
+            The row; None if it does not exist.
+        now : float
+            A time after the read.
+        version : TableVersion
+            Version of the table that was stated with the read.
+        """
         value = row.value if row else None
+        self.version = version
         self.row_is_fresh = True
         written = self._pending_writes.get(value) if value is not None else None
         if written is not None:
@@ -206,19 +227,21 @@
         LeaseWrite or None
             None if another VM holds the lease or the row has to be read first.
         """
-        if not self.row_is_fresh:
+        if not self.row_is_fresh or self.version.era > MAX_FENCING_ERA:
             return None
         record = parse_lease(self.row_value) if self.row_value is not None else None
         if self.held_write is not None and self.remaining_s(now) > 0:
             fencing, ready_at = self.fencing, self.held_write.ready_at
         elif record is None:
-            fencing, ready_at = 1, now
+            fencing, ready_at = next_fencing(0, self.version), now
         elif record.holder == "":
             # A holder resigns only after its last order has ended.
-            fencing, ready_at = record.fencing + 1, now + self.handover_gap_s
+            fencing = next_fencing(record.fencing, self.version)
+            ready_at = now + self.handover_gap_s
         elif now > self.row_changed_at + self.lease_s + self.clock_bound_s:
             wait_s = max(self.order_timeout_s + self.clock_bound_s, self.handover_gap_s)
-            fencing, ready_at = record.fencing + 1, now + wait_s
+            fencing = next_fencing(record.fencing, self.version)
+            ready_at = now + wait_s
         else:
             return None
         return self._build_write(
@@ -239,7 +262,11 @@
         return self._build_write(record, now, now)
 
     def apply_result(
-        self, write: LeaseWrite, result: TransactionResult, now: float
+        self,
+        write: LeaseWrite,
+        result: TransactionResult,
+        now: float,
+        version: TableVersion = FIRST_ERA,
     ) -> None:
         """Update the state from the result of a write.
 
@@ -251,13 +278,16 @@
             Result of its transaction.
         now : float
             A time after the write.
+        version : TableVersion
+            Version of the table that was stated with the result.
         """
         if result.succeeded:
+            self.version = version
             self.row_value = write.record.encode()
             self.row_changed_at = now
             self._set_held_write(write)
         else:
-            self.observe(result.rows[0] if result.rows else None, now)
+            self.observe(result.rows[0] if result.rows else None, now, version)
 
     def invalidate(self) -> None:
         """Require a read of the row before the next write.
--- a/src/endivelug/platform/lease_table.py
+++ b/src/endivelug/platform/lease_table.py
@@ -6,6 +6,7 @@
     Put,
     RevisionEquals,
     Row,
+    TableVersion,
     Transaction,
     TransactionResult,
     ValueEquals,
@@ -25,15 +26,19 @@
     ----------
     last_rows : dict of str to Row
         By key, the row as last read or written.
+    version : TableVersion
+        Version of the store that its last answer stated.
     """
 
     def __init__(self, *, store: RowStore) -> None:
         self.store = store
         self.last_rows: dict[str, Row] = {}
+        self.version = TableVersion()
 
     async def get(self, key: str) -> Row | None:
         """Return the row of a key, or None."""
         page = await self.store.read(ROUTER_TABLE, first=key, last=key + "!")
+        self.version = TableVersion(era=page.era, revision=page.version)
         for row in page.rows:
             if row.key == key:
                 return self._remember(row)
@@ -68,6 +73,8 @@
                 )
             ]
         )
+        newest = max((row.version for row in result.rows), default=result.version)
+        self.version = TableVersion(era=result.era, revision=newest)
         if result.done:
             self.last_rows[write.key] = Row(
                 key=write.key, value=write.value, mod_revision=result.version
--- a/src/endivelug/table.py
+++ b/src/endivelug/table.py
@@ -24,6 +24,7 @@
     Put,
     RevisionEquals,
     Row,
+    TableVersion,
     Transaction,
     TransactionResult,
     ValueEquals,
@@ -117,6 +118,8 @@
     ----------
     reads, writes : int
         Requests sent.
+    version : TableVersion
+        Era 0, as this table is never restored from an older copy.
     """
 
     def __init__(
@@ -132,6 +135,7 @@
         self.tls = tls
         self.reads = 0
         self.writes = 0
+        self.version = TableVersion()
         self._headers = {"Content-Type": "application/json"}
         if credential:
             self._headers["Authorization"] = f"Bearer {credential}"
--- a/src/endivelug/transactions.py
+++ b/src/endivelug/transactions.py
@@ -3,6 +3,23 @@
 from dataclasses import dataclass, field
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class TableVersion:
+    """Version of a table that an answer stated.
+
+    Attributes
+    ----------
+    era : int
+        Number that rises whenever the table comes back from an older copy, after which
+        it gives out revisions again; 0 for a table that is never restored.
+    revision : int
+        Newest revision of the table; 0 if unknown.
+    """
+
+    era: int = 0
+    revision: int = 0
+
+
 @dataclass(slots=True, kw_only=True)
 class Row:
     """A key with its value.
--- a/tests/order_simulation.py
+++ b/tests/order_simulation.py
@@ -20,6 +20,7 @@
 from endivelug.transactions import (
     Put,
     Row,
+    TableVersion,
     TransactionResult,
 )
 from forwarding_builders import (
@@ -222,6 +223,7 @@
     def __init__(self, *, row, vm):
         self.row = row
         self.vm = vm
+        self.version = TableVersion()
 
     async def get(self, key):
         return await self.row.get(self.vm)
--- a/tests/test_lease_keeper.py
+++ b/tests/test_lease_keeper.py
@@ -6,6 +6,7 @@
 from endivelug.transactions import (
     Put,
     Row,
+    TableVersion,
     TransactionResult,
 )
 
@@ -15,6 +16,7 @@
 
     def __init__(self):
         self.row = None
+        self.version = TableVersion()
 
     async def get(self, key):
         return self.row
