Wait for leases that a restored store has lost

Engines that do not check fencing numbers could get orders of two VMs at one time after the store had come back from an older copy, and orders of two holders closer than the gap between holders.

Cause: a VM took the lease at once if the row was missing or said that its holder had resigned, and if it had seen the older holder of the copy long before. The holder whose lease was lost with the copy orders on until its lease has ended by its clock, however long it is paused. Change: a VM that meets an era takes the lease as before, but orders only when lease duration, clock bound and the wait between holders have passed since. It does so whatever the row says, as a VM may also resign that was never ready. A resignation of a former era counts as a lease, because it may have been done late and have replaced the row of a holder. The line order-lease-waits names the wait. Evidence: with the code of the commit before, five cases of tests/test_restored_leases.py saw the next holder order 0.25 s after a moment at which the former one still might.

--- a/src/endivelug/forwarding/weights_order_sender.py
+++ b/src/endivelug/forwarding/weights_order_sender.py
@@ -161,6 +161,14 @@
                 fencing=self.lease.fencing,
                 row=repr(self.lease.row_value)[:80],
             )
+            waits_s = self.lease.ready_not_before - self.lease_clock()
+            if held and waits_s > 0:
+                self.log(
+                    "order-lease-waits",
+                    era=self.lease.version.era,
+                    fencing=self.lease.fencing,
+                    waits_s=round(waits_s, 2),
+                )
 
     def _start_orders(self) -> None:
         now = self.clock()
--- a/src/endivelug/leases.py
+++ b/src/endivelug/leases.py
@@ -3,7 +3,9 @@
 The holder of the lease is the only VM of a data centre that sends orders to engines.
 Clocks of different hosts are never compared. The holder counts the lease from a time
 before its write; a candidate counts from the time at which it first read the row,
-which is later. Source: Gray and Cheriton, "Leases: an efficient fault-tolerant
+which is later. In a table that was restored from an older copy, a lease of the former
+era may be held that nobody can see; it counts from the time at which the VM met the new
+era. Source: Gray and Cheriton, "Leases: an efficient fault-tolerant
 mechanism for distributed file cache consistency", SOSP 1989.
 """
 
@@ -12,7 +14,7 @@
 
 import cbor2
 
-from endivelug.fencing_numbers import MAX_FENCING_ERA, next_fencing
+from endivelug.fencing_numbers import MAX_FENCING_ERA, fencing_era, next_fencing
 from endivelug.transactions import (
     Absent,
     Condition,
@@ -127,6 +129,9 @@
         Time at which this value was first read or was written by this VM.
     version : TableVersion
         Version of the table that was stated with the last read or write of the row.
+    ready_not_before : float
+        Time from which no lease of a former era of the table can be held and the orders
+        under it have ended.
     row_is_fresh : bool
         Whether ``row_value`` may be used for a write; False requires a read first.
     """
@@ -151,7 +156,8 @@
         self.row_value: bytes | None = None
         self.row_changed_at = float("-inf")
         self.row_is_fresh = False
-        self.version = TableVersion()
+        self.version = FIRST_ERA
+        self.ready_not_before = float("-inf")
         self._pending_writes: dict[bytes, LeaseWrite] = {}
 
     @property
@@ -190,6 +196,14 @@
             return True
         return self.remaining_s(now) > self.order_timeout_s + self.clock_bound_s
 
+    def meet_era(self, era: int, now: float) -> None:
+        """Note that the table is in an era; ``now`` is a time after it has begun."""
+        if era <= self.version.era:
+            return
+        self.version = TableVersion(era=era)
+        lease_ends_at = now + self.lease_s + self.clock_bound_s
+        self.ready_not_before = lease_ends_at + self._handover_s
+
     def observe(
         self, row: Row | None, now: float, version: TableVersion = FIRST_ERA
     ) -> None:
@@ -204,6 +218,7 @@
         version : TableVersion
             Version of the table that was stated with the read.
         """
+        self.meet_era(version.era, now)
         value = row.value if row else None
         self.version = version
         self.row_is_fresh = True
@@ -234,16 +249,18 @@
             fencing, ready_at = self.fencing, self.held_write.ready_at
         elif record is None:
             fencing, ready_at = next_fencing(0, self.version), now
-        elif record.holder == "":
-            # A holder resigns only after its last order has ended.
+        elif record.holder == "" and fencing_era(record.fencing) == self.version.era:
+            # A holder resigns only after its last order has ended. A resignation of a
+            # former era may have been done late and replaced the row of a holder.
             fencing = next_fencing(record.fencing, self.version)
             ready_at = now + self.handover_gap_s
         elif now > self.row_changed_at + self.lease_s + self.clock_bound_s:
-            wait_s = max(self.order_timeout_s + self.clock_bound_s, self.handover_gap_s)
             fencing = next_fencing(record.fencing, self.version)
-            ready_at = now + wait_s
+            ready_at = now + self._handover_s
         else:
             return None
+        # Whatever a restored table says, an older lease may be held.
+        ready_at = max(ready_at, self.ready_not_before)
         return self._build_write(
             LeaseRecord(holder=self.vm, fencing=fencing, nonce=nonce), now, ready_at
         )
@@ -297,6 +314,11 @@
         """
         self.row_is_fresh = False
 
+    @property
+    def _handover_s(self) -> float:
+        """Seconds from the end of a lease to the next holder's first order."""
+        return max(self.order_timeout_s + self.clock_bound_s, self.handover_gap_s)
+
     def _build_write(
         self, record: LeaseRecord, now: float, ready_at: float
     ) -> LeaseWrite:
--- a/tests/test_restored_leases.py
+++ b/tests/test_restored_leases.py
@@ -2,7 +2,14 @@
 
 import pytest
 
-from lease_builders import LEASE_S, Clock, make_keeper
+from lease_builders import (
+    ERA_WAIT_S,
+    HANDOVER_GAP_S,
+    LEASE_S,
+    Clock,
+    make_keeper,
+    may_order,
+)
 from store_standin import running_store
 
 
@@ -46,3 +53,102 @@
                 assert keeper.lease.fencing == number + 1
 
     asyncio.run(run())
+
+
+async def holding(store, vm, clock):
+    """Return the keeper of a VM that holds the lease and may order."""
+    keeper = make_keeper(store, vm, clock)
+    await acquire(keeper, clock)
+    while not may_order(keeper):
+        await keeper.renew_or_acquire()
+        clock.now += 1.0
+    return keeper
+
+
+async def assert_one_orders(keepers, clock, *, unaware):
+    """Check that an unaware holder and the others never may order together."""
+    ended_at = clock.now
+    while not any(may_order(keeper) for keeper in keepers):
+        if unaware.lease.remaining_s(clock.now) > 0:
+            ended_at = clock.now
+        for keeper in keepers:
+            await keeper.renew_or_acquire()
+        clock.now += 0.25
+    assert clock.now - ended_at >= HANDOVER_GAP_S
+
+
+# Guards against a lease that two VMs hold for a moment after a restoration: the copy
+# says that the holder resigned or has expired, while one whose lease was lost with the
+# copy is paused or does not know yet.
+@pytest.mark.parametrize("kept", ["resignation", "older holder"])
+def test_nobody_orders_while_a_lost_lease_may_be_held(kept):
+    async def run():
+        async with running_store() as store:
+            store.era, clock = 1, Clock()
+            former = await holding(store, "vm1", clock)
+            if kept == "resignation":
+                await former.resign()
+            candidate = make_keeper(store, "vm3", clock)
+            await candidate.renew_or_acquire()
+            if kept == "resignation":
+                await candidate.resign()
+            copy = store.take_copy()
+            clock.now += 2 * LEASE_S
+            unaware = await holding(store, "vm2", clock)
+            store.restore(copy)
+            await assert_one_orders([candidate], clock, unaware=unaware)
+
+    asyncio.run(run())
+
+
+# Guards against an order lease that is acquired at once because its row was lost, by a
+# VM that knew the former era or by one that has just started.
+@pytest.mark.parametrize("starts", [True, False])
+def test_a_lost_row_does_not_mean_a_free_lease(starts):
+    async def run():
+        async with running_store() as store:
+            store.era, clock, copy = 1, Clock(), store.take_copy()
+            unaware = await holding(store, "vm1", clock)
+            candidate = make_keeper(store, "vm2", clock)
+            if not starts:
+                await candidate.renew_or_acquire()
+            store.restore(copy)
+            await assert_one_orders([candidate], clock, unaware=unaware)
+
+    asyncio.run(run())
+
+
+# Guards against a VM that takes over from one that resigned before it could order,
+# while the lease that was lost with the copy is still held.
+def test_a_resignation_does_not_end_the_wait_for_a_lost_lease():
+    async def run():
+        async with running_store() as store:
+            store.era, clock, copy = 1, Clock(), store.take_copy()
+            unaware = await holding(store, "vm1", clock)
+            store.restore(copy)
+            second = make_keeper(store, "vm2", clock)
+            await second.renew_or_acquire()
+            await second.resign()
+            third = make_keeper(store, "vm3", clock)
+            await assert_one_orders([third], clock, unaware=unaware)
+
+    asyncio.run(run())
+
+
+# Guards against VMs that wait longer than a lost lease may be held.
+def test_a_lease_is_usable_soon_after_a_restoration():
+    async def run():
+        async with running_store() as store:
+            store.era, clock, copy = 1, Clock(), store.take_copy()
+            keepers = [await holding(store, "vm1", clock)]
+            keepers.append(make_keeper(store, "vm2", clock))
+            store.restore(copy)
+            restored_at = clock.now
+            clock.now += LEASE_S
+            while not any(may_order(keeper) for keeper in keepers):
+                for keeper in keepers:
+                    await keeper.renew_or_acquire()
+                clock.now += 0.25
+            assert clock.now - restored_at <= LEASE_S + ERA_WAIT_S + 1.0
+
+    asyncio.run(run())
