Accept no lease on a condition of another era

Two VMs could hold the order lease together after a restoration of the store.

Cause: the store gives out row versions again, so the condition of a renewal or an acquisition may hold by chance for a row that another VM wrote in the new era. The lease's writes did not name the era of their condition, and a write of the former era that was read back gave the lease. Change: the conditions name the era in which the row was read, also the one that the row is missing. A VM that meets a new era, by an answer or by a report of a peer, gives up its lease and forgets its pending writes; answers of a former era that arrive later change nothing. Ruled out: a holder that goes on without waiting, since its own lease has not ended. Another VM may have acquired the lease in between, and a late write have replaced its row.

--- a/src/endivelug/forwarding/weights_order_sender.py
+++ b/src/endivelug/forwarding/weights_order_sender.py
@@ -119,6 +119,7 @@
         self.last_peer_order_at: Callable[[str], float] = lambda name: float("-inf")
         self._failures: dict[str, int] = {}
         self._lease_held = False
+        view.eras.on_newer.append(self._meet_era)
 
     @property
     def busy(self) -> bool:
@@ -151,6 +152,9 @@
             task.cancel()
         await asyncio.gather(*self.tasks.values(), return_exceptions=True)
 
+    def _meet_era(self, before: int, era: int) -> None:
+        self.lease.meet_era(era, self.lease_clock())
+
     def _log_lease_change(self) -> None:
         held = self.lease.remaining_s(self.lease_clock()) > 0
         if held != self._lease_held:
--- a/src/endivelug/leases.py
+++ b/src/endivelug/leases.py
@@ -90,12 +90,15 @@
         Time before the write, from which the lease's duration counts.
     ready_at : float
         Time from which orders may be sent under the lease.
+    era : int
+        Era of the table in which the row was read that the write replaces.
     """
 
     transaction: Transaction
     record: LeaseRecord
     started: float
     ready_at: float
+    era: int
 
 
 class Lease:
@@ -197,12 +200,20 @@
         return self.remaining_s(now) > self.order_timeout_s + self.clock_bound_s
 
     def meet_era(self, era: int, now: float) -> None:
-        """Note that the table is in an era; ``now`` is a time after it has begun."""
+        """Note that the table is in an era; ``now`` is a time after it has begun.
+
+        The lease has to be acquired anew: the row may have been lost, and a write of
+        the former era that is done in this one may replace any row.
+        """
         if era <= self.version.era:
             return
         self.version = TableVersion(era=era)
         lease_ends_at = now + self.lease_s + self.clock_bound_s
         self.ready_not_before = lease_ends_at + self._handover_s
+        self.held_write = None
+        self._pending_writes.clear()
+        self.row_is_fresh = False
+        self.row_changed_at = float("-inf")
 
     def observe(
         self, row: Row | None, now: float, version: TableVersion = FIRST_ERA
@@ -219,6 +230,10 @@
             Version of the table that was stated with the read.
         """
         self.meet_era(version.era, now)
+        if version.era < self.version.era:
+            # An answer that was under way when a later one named the new era.
+            self.row_is_fresh = False
+            return
         value = row.value if row else None
         self.version = version
         self.row_is_fresh = True
@@ -298,7 +313,10 @@
         version : TableVersion
             Version of the table that was stated with the result.
         """
-        if result.succeeded:
+        self.meet_era(version.era, now)
+        if result.succeeded and not write.era == version.era == self.version.era:
+            self.invalidate()
+        elif result.succeeded:
             self.version = version
             self.row_value = write.record.encode()
             self.row_changed_at = now
@@ -335,6 +353,7 @@
             record=record,
             started=now,
             ready_at=ready_at,
+            era=self.version.era,
         )
         self._pending_writes[value] = write
         return write
--- a/src/endivelug/platform/lease_table.py
+++ b/src/endivelug/platform/lease_table.py
@@ -70,6 +70,7 @@
                     key=write.key,
                     value=write.value,
                     expected_version=expected,
+                    expected_era=self.version.era,
                 )
             ]
         )
--- a/tests/test_restored_leases.py
+++ b/tests/test_restored_leases.py
@@ -2,9 +2,11 @@
 
 import pytest
 
+from endivelug.transactions import TableVersion, TransactionResult
 from lease_builders import (
     ERA_WAIT_S,
     HANDOVER_GAP_S,
+    LEASE_ROW,
     LEASE_S,
     Clock,
     make_keeper,
@@ -152,3 +154,72 @@
             assert clock.now - restored_at <= LEASE_S + ERA_WAIT_S + 1.0
 
     asyncio.run(run())
+
+
+# Guards against a renewal or an acquisition whose condition holds by chance in a new
+# era, as the store gave out the version again: its VM and the one whose row it replaced
+# held the lease together.
+def test_a_condition_of_a_former_era_does_not_give_the_lease():
+    async def run():
+        async with running_store() as store:
+            store.era, clock, copy = 1, Clock(), store.take_copy()
+            former = await holding(store, "vm1", clock)
+            store.restore(copy)
+            version = former.table.last_rows[former.lease.key].mod_revision
+            second = make_keeper(store, "vm2", clock)
+            await second.renew_or_acquire()
+            while store.version < version:
+                await second.renew_or_acquire()
+            assert store.rows[LEASE_ROW][1] == version
+            numbers = (former.lease.fencing, second.lease.fencing)
+            remaining_s = former.lease.remaining_s(clock.now)
+            await former.renew_or_acquire()
+            assert b"vm1" in store.rows[LEASE_ROW][0]
+            assert former.lease.remaining_s(clock.now) <= remaining_s
+            await former.renew_or_acquire()
+            assert former.lease.remaining_s(clock.now) == 0.0
+            while former.lease.fencing <= max(numbers):
+                await former.renew_or_acquire()
+                clock.now += 1.0
+            assert second.lease.remaining_s(clock.now) == 0.0
+
+    asyncio.run(run())
+
+
+# Guards against a write without an answer that is done in a new era and then read back
+# by its VM, while the VM whose row it replaced may order.
+def test_a_write_of_a_former_era_that_is_read_back_does_not_give_the_lease():
+    async def run():
+        async with running_store() as store:
+            store.era, clock, copy = 1, Clock(), store.take_copy()
+            late = make_keeper(store, "vm1", clock)
+            store.lose_answers = True
+            await late.renew_or_acquire()
+            row = store.rows[LEASE_ROW]
+            store.lose_answers = False
+            store.restore(copy)
+            store.rows[LEASE_ROW] = row
+            await late.renew_or_acquire()
+            assert late.lease.fencing == 0
+
+    asyncio.run(run())
+
+
+# Guards against a holder that goes on under its old lease when it hears of the new era,
+# and against an answer of the former era that arrives after that.
+def test_an_answer_of_a_former_era_does_not_give_the_lease():
+    async def run():
+        async with running_store() as store:
+            store.era, clock = 1, Clock()
+            keeper = await holding(store, "vm1", clock)
+            write = keeper.lease.next_write(clock.now, nonce=b"1")
+            keeper.lease.meet_era(2, clock.now)
+            assert keeper.lease.fencing == 0
+            result = TransactionResult(succeeded=True, rows=[], nested=[])
+            former = TableVersion(era=1, revision=9)
+            keeper.lease.apply_result(write, result, clock.now, former)
+            assert keeper.lease.fencing == 0 and not keeper.lease.row_is_fresh
+            keeper.lease.observe(None, clock.now, former)
+            assert not keeper.lease.row_is_fresh
+
+    asyncio.run(run())
