Write rows of VMs again that a restored store has lost

VMs that start after the store has come back from an older copy do not know VMs whose rows were lost with the copy, and VMs that read the list again dropped them.

Cause: a VM writes its row once, when it joins, and a list replaced the known VMs. Change: a VM that meets a new era, by any answer or through a peer, looks for its own row after a random delay and writes it if it is missing or of an earlier process. The row written again says at which version the VM registered first, and versions are compared with their era, so relays do not change. A list only adds VMs. The lines vm-row-restored and vm-rows-delayed tell of it.

--- a/src/endivelug/forwarding/overlay.py
+++ b/src/endivelug/forwarding/overlay.py
@@ -12,6 +12,8 @@
 from collections.abc import Collection
 from dataclasses import dataclass, field
 
+from endivelug.forwarding.row_store import StoreVersion
+
 # Least number of relays in each data centre. There are more in a large deployment, so
 # that a relay has about as many members as links to other relays.
 RELAYS_PER_DATA_CENTRE = 2
@@ -33,6 +35,8 @@
     ----------
     joined : int
         Row version of its registration; VMs that joined later have higher versions.
+    joined_era : int
+        Era of the store that gave out that version.
     cores : float
         Processor capacity in cores; 0 if unknown.
     """
@@ -42,11 +46,25 @@
     data_centre: str
     joined: int
     cores: float = 0.0
+    joined_era: int = 0
+
+    @property
+    def joined_version(self) -> StoreVersion:
+        """Version of the store at which the VM registered."""
+        return StoreVersion(era=self.joined_era, number=self.joined)
 
     @property
-    def precedence(self) -> tuple[float, int, str]:
+    def precedence(self) -> tuple[float, StoreVersion, str]:
         """Key by which the VMs of a data centre become relays, the smallest first."""
-        return (-round(self.cores, 1), self.joined, self.name)
+        return (-round(self.cores, 1), self.joined_version, self.name)
+
+    def states_same(self, other: "RegisteredVm") -> bool:
+        """Return whether another registration of the VM says the same of it."""
+        return (self.address, self.data_centre, self.cores) == (
+            other.address,
+            other.data_centre,
+            other.cores,
+        )
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/endivelug/forwarding/vm_join.py
+++ b/src/endivelug/forwarding/vm_join.py
@@ -5,7 +5,9 @@
 
 from endivelug.exceptions import TableUnavailable
 from endivelug.forwarding.cluster_view import LogLine
+from endivelug.forwarding.overlay import RegisteredVm
 from endivelug.forwarding.peers import Peers
+from endivelug.forwarding.restored_vm_rows import RestoredVmRows
 from endivelug.forwarding.vm_rows import VmRows
 
 # Interval at which VMs that follow the store read the list of VMs.
@@ -44,13 +46,25 @@
         self.rng = rng
         self.log = log
         self.joined = False
+        self.restored = RestoredVmRows(
+            rows=rows,
+            eras=peers.view.eras,
+            vms=lambda: max(peers.vms, len(peers.overlay.registered)),
+            rng=rng,
+            log=log,
+        )
 
     async def run(self) -> None:
-        """Register, then link to the other VMs and report to them until cancelled."""
+        """Register, then link to the other VMs and report to them until cancelled.
+
+        What the store loses of this VM meanwhile is written again.
+        """
         if not self.joined:
-            await self._join()
+            self.own = await self._join()
             self.joined = True
-        await self.peers.run()
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.peers.run())
+            group.create_task(self.restored.run(self.own))
 
     async def refresh(self) -> None:
         """Read the list of VMs regularly while this VM follows the store."""
@@ -59,11 +73,22 @@
             if not self.joined or not self.peers.follows_store():
                 continue
             try:
-                self.peers.set_registered_vms(await self.rows.list_vms())
+                self._add_registered_vms(await self.rows.list_vms())
             except TableUnavailable as error:
                 self.log("vm-list-failed", reason=str(error))
 
-    async def _join(self) -> None:
+    def _add_registered_vms(self, listed: list[RegisteredVm]) -> None:
+        """Update the known VMs from a list.
+
+        A VM that it lacks is kept. No VM's row is ever removed, so the store has lost
+        the row, and the VM will write it again.
+        """
+        known = dict(self.peers.overlay.registered)
+        known.update((item.name, item) for item in listed)
+        self.peers.set_registered_vms(list(known.values()))
+
+    async def _join(self) -> RegisteredVm:
+        """Register and start to link; return this VM as it has registered."""
         identity = self.peers.identity
         joined = await self.rows.join(
             identity.vm,
@@ -75,4 +100,14 @@
         await self.peers.listen(host=self.host, port=self.port)
         # VMs that start together are listening as well by then.
         await asyncio.sleep(DIAL_DELAY_S)
-        self.peers.set_registered_vms(joined.vms)
+        own = RegisteredVm(
+            name=identity.vm,
+            address=f"{self.host}:{self.port}",
+            data_centre=identity.data_centre,
+            joined=joined.version.number,
+            joined_era=joined.version.era,
+            cores=self.cores,
+        )
+        # The store may have lost this VM's row before it was listed.
+        self._add_registered_vms([own, *joined.vms])
+        return own
--- a/src/endivelug/forwarding/vm_rows.py
+++ b/src/endivelug/forwarding/vm_rows.py
@@ -12,7 +12,13 @@
 from endivelug.exceptions import TableOutcomeUnknown, TableUnavailable
 from endivelug.forwarding.cluster_view import LogLine
 from endivelug.forwarding.overlay import RegisteredVm
-from endivelug.forwarding.row_store import RowPage, RowStore, RowWrite, StoredRow
+from endivelug.forwarding.row_store import (
+    RowPage,
+    RowStore,
+    RowWrite,
+    StoredRow,
+    StoreVersion,
+)
 
 RETRY_S = 0.5
 # The list of VMs is read this long after the registration, because the VMs of a
@@ -31,10 +37,21 @@
 
 @dataclass(slots=True, kw_only=True)
 class JoinedVms:
-    """What a VM learns when it joins: the link secret and all registered VMs."""
+    """What a VM learns when it joins.
+
+    Attributes
+    ----------
+    secret : bytes
+        The link secret.
+    vms : list of RegisteredVm
+        All registered VMs.
+    version : StoreVersion
+        Version of the store at which this VM registered.
+    """
 
     secret: bytes
     vms: list[RegisteredVm]
+    version: StoreVersion
 
 
 class VmRows:
@@ -57,7 +74,7 @@
         Retries until the store answers.
         """
         registration = self.make_registration(vm, address, data_centre, cores)
-        await self._retry(lambda: self.store.write([registration]))
+        registered = await self._retry(lambda: self.store.write([registration]))
         await asyncio.sleep(LIST_DELAY_S)
         attempts = 0
         while True:
@@ -65,7 +82,11 @@
             vms = self._decode_vms(page)
             secrets_read = [row.value for row in page.rows if row.key == SECRET_KEY]
             if secrets_read:
-                return JoinedVms(secret=secrets_read[0], vms=vms)
+                return JoinedVms(
+                    secret=secrets_read[0],
+                    vms=vms,
+                    version=registered.store_version,
+                )
             attempts += 1
             if _is_first(vm, vms) or attempts > MAX_SECRET_ATTEMPTS:
                 await self._retry(lambda: self.store.write([self._new_secret()]))
@@ -82,6 +103,37 @@
             value=cbor2.dumps([address, data_centre, cores]),
         )
 
+    def make_second_registration(
+        self, vm: RegisteredVm, *, replaces: StoredRow | None
+    ) -> RowWrite:
+        """Return the write of a VM's row that the store has lost.
+
+        Parameters
+        ----------
+        vm : RegisteredVm
+            The VM; the row says when it registered first, so that VMs keep their order.
+        replaces : StoredRow or None
+            The row of an earlier process that the store has; None if there is none.
+        """
+        joined = [vm.joined_era, vm.joined]
+        return RowWrite(
+            table=self.table,
+            key=VM_PREFIX + vm.name,
+            value=cbor2.dumps([vm.address, vm.data_centre, vm.cores, *joined]),
+            expected_version=replaces.version if replaces is not None else 0,
+            expected_era=replaces.era if replaces is not None else None,
+        )
+
+    async def read_registration(self, vm: str) -> StoredRow | None:
+        """Return the row of a VM, or None if there is none.
+
+        Raises
+        ------
+        TableUnavailable
+            If the store does not answer.
+        """
+        return await self._read_row(VM_PREFIX + vm)
+
     async def list_vms(self) -> list[RegisteredVm]:
         """Return all registered VMs.
 
@@ -94,14 +146,17 @@
 
     def _decode_vms(self, page: RowPage) -> list[RegisteredVm]:
         rows = [row for row in page.rows if row.key.startswith(VM_PREFIX)]
-        decoded = [self._decode(row) for row in rows]
+        decoded = [self.decode(row) for row in rows]
         return [item for item in decoded if item is not None]
 
-    def _decode(self, row: StoredRow) -> RegisteredVm | None:
+    def decode(self, row: StoredRow) -> RegisteredVm | None:
+        """Return the VM that a row registers; None if it is unreadable."""
         try:
             address, data_centre, *rest = cbor2.loads(row.value)
             # Rows of earlier versions have no capacity.
             cores = float(rest[0]) if rest else 0.0
+            # Rows that were written again say when the VM registered first.
+            era, joined = map(int, rest[1:3] or (row.era, row.version))
         except (
             ValueError,
             TypeError,
@@ -120,10 +175,15 @@
             name=row.key.removeprefix(VM_PREFIX),
             address=str(address),
             data_centre=str(data_centre),
-            joined=row.version,
+            joined=joined,
+            joined_era=era,
             cores=cores,
         )
 
+    async def _read_row(self, key: str) -> StoredRow | None:
+        page = await self._read(key, key + "!")
+        return next((row for row in page.rows if row.key == key), None)
+
     async def _read(self, first: str, last: str) -> RowPage:
         return await self.store.read(self.table, first=first, last=last)
 
@@ -146,5 +206,5 @@
 
 
 def _is_first(vm: str, vms: list[RegisteredVm]) -> bool:
-    first = min(vms, key=lambda item: item.joined, default=None)
+    first = min(vms, key=lambda item: item.joined_version, default=None)
     return first is not None and first.name == vm
--- /dev/null
+++ b/tests/test_restored_vm_rows.py
@@ -0,0 +1,129 @@
+import asyncio
+import contextlib
+import random
+
+from endivelug.forwarding.connection_pool import ConnectionPool
+from endivelug.forwarding.overlay import RegisteredVm
+from endivelug.forwarding.restored_vm_rows import RestoredVmRows
+from endivelug.forwarding.store_eras import StoreEras
+from endivelug.forwarding.vm_rows import VmRows
+from endivelug.platform.store import PlatformStore
+from forwarding_builders import LogRecorder
+from router_process import wait_until
+from store_standin import running_store
+
+
+class JoinedVm:
+    """A VM that has joined and restores its rows."""
+
+    def __init__(self, store, number):
+        self.name = f"vm{number}"
+        self.number = number
+        self.log = LogRecorder()
+        loop = asyncio.get_running_loop()
+        self.eras = StoreEras(clock=loop.time)
+        client = PlatformStore(
+            address=store.address, pool=ConnectionPool(clock=loop.time)
+        )
+        client.on_answer = self.eras.observe
+        self.rows = VmRows(
+            store=client, table="endivelug", rng=random.Random(number), log=self.log
+        )
+        self.restored = RestoredVmRows(
+            rows=self.rows,
+            eras=self.eras,
+            vms=lambda: 3,
+            rng=random.Random(number),
+            log=self.log,
+        )
+        self.task = None
+
+    async def join(self):
+        """Register and start to restore rows; return the version of the row."""
+        own = RegisteredVm(
+            name=self.name,
+            address=f"127.0.0.1:{self.number}",
+            data_centre="dc1",
+            joined=0,
+            cores=0.5,
+        )
+        joined = await self.rows.join(
+            own.name, address=own.address, data_centre="dc1", cores=0.5
+        )
+        (own,) = [item for item in joined.vms if item.name == own.name]
+        self.task = asyncio.create_task(self.restored.run(own))
+        return own
+
+
+@contextlib.asynccontextmanager
+async def joined_vms(store, count):
+    """Join VMs one after the other, so that they have an order."""
+    vms, registered = [JoinedVm(store, number) for number in range(count)], []
+    for vm in vms:
+        registered.append(await vm.join())
+    try:
+        yield vms, registered
+    finally:
+        for vm in vms:
+            vm.task.cancel()
+
+
+# Guards against a VM that nobody lists, because its row was lost with the copy: no VM
+# that starts later links to it. Two restorations may follow one another, and the store
+# may be away in between.
+def test_vms_write_their_lost_rows_again():
+    async def run():
+        async with running_store() as store:
+            store.era, copy = 1, store.take_copy()
+            async with joined_vms(store, 3) as (vms, registered):
+                for _ in range(2):
+                    store.restore(copy)
+                    for vm in vms:
+                        # From a report of a peer; this VM does not follow the store.
+                        vm.eras.observe(store.era)
+                    store.fail_with = 503
+                    await asyncio.sleep(0.2)
+                    store.fail_with = None
+                await wait_until(lambda: len(store.rows) >= 3)
+                listed = await vms[0].rows.list_vms()
+                assert sorted(listed, key=lambda vm: vm.precedence) == registered
+                assert "vm-row-restored" in vms[2].log.events()
+
+    asyncio.run(run())
+
+
+# Guards against rows that are written though the store has them, which costs a write
+# for each VM of a large deployment.
+def test_rows_that_the_copy_has_are_not_written_again():
+    async def run():
+        async with running_store() as store:
+            store.era = 1
+            async with joined_vms(store, 2) as (vms, _):
+                store.restore(store.take_copy())
+                for vm in vms:
+                    vm.eras.observe(store.era)
+                calls = len(store.request_paths)
+                await asyncio.sleep(1.0)
+                assert set(store.request_paths[calls:]) == {"/rows-get"}
+
+    asyncio.run(run())
+
+
+# Guards against the row of an earlier process, with another address, that came back
+# with the copy.
+def test_an_older_row_of_the_same_vm_is_replaced():
+    async def run():
+        async with running_store() as store:
+            store.era = 1
+            vm = JoinedVm(store, 1)
+            earlier = vm.rows.make_registration(vm.name, "127.0.0.1:9", "dc1", 0.5)
+            await vm.rows.store.write([earlier])
+            copy = store.take_copy()
+            own = await vm.join()
+            store.restore(copy)
+            vm.eras.observe(store.era)
+            await wait_until(lambda: "vm-row-restored" in vm.log.events())
+            assert await vm.rows.list_vms() == [own]
+            vm.task.cancel()
+
+    asyncio.run(run())
