Write a link secret again that a restored store has lost

VMs that start after the store has come back from a copy without the link secret cannot link to the others, as they create a secret of their own.

Cause: the secret is written once, when the first VM joins. Change: a VM that meets a new era reads the secret with its own row. If there is none it waits for a random time, reads again, and writes the one that it uses on the condition that there still is none. The line link-secret-restored tells of it.

--- a/src/endivelug/forwarding/restored_vm_rows.py
+++ b/src/endivelug/forwarding/restored_vm_rows.py
@@ -10,6 +10,7 @@
 from endivelug.forwarding.row_store import RowWrite
 from endivelug.forwarding.store_eras import StoreEras
 from endivelug.forwarding.vm_rows import VmRows
+from endivelug.links import Identity
 
 # All VMs meet a new era within a second. Their reads and writes are spread so that all
 # together stay well below the store's 2,000 reads and one table part's 150 writes a
@@ -25,6 +26,8 @@
 
     Parameters
     ----------
+    identity : Identity
+        Identity of this process, with the link secret.
     rows : VmRows
         Access to the rows.
     eras : StoreEras
@@ -36,12 +39,14 @@
     def __init__(
         self,
         *,
+        identity: Identity,
         rows: VmRows,
         eras: StoreEras,
         vms: Callable[[], int],
         rng: random.Random,
         log: LogLine,
     ) -> None:
+        self.identity = identity
         self.rows = rows
         self.eras = eras
         self.vms = vms
@@ -70,24 +75,37 @@
     async def _try_to_restore(self, own: RegisteredVm) -> bool:
         """Write the missing rows; return whether the store answered all calls."""
         try:
-            await self._sleep(VMS_READING_PER_S)
-            await self._restore_registration(own)
+            await self._restore(own)
         except (TableUnavailable, TableOutcomeUnknown) as error:
             self.log("vm-rows-delayed", era=self.eras.newest, reason=str(error))
             return False
         return True
 
-    async def _restore_registration(self, own: RegisteredVm) -> None:
-        write = await self._missing_registration(own)
-        if write is None:
+    async def _restore(self, own: RegisteredVm) -> None:
+        await self._sleep(VMS_READING_PER_S)
+        registration = await self._missing_registration(own)
+        lacks_secret = await self.rows.read_secret() is None
+        if registration is None and not lacks_secret:
             return
         await self._sleep(VMS_WRITING_PER_S)
+        if registration is not None:
+            await self._write_registration(registration)
+        # Most VMs find that another one has written the secret meanwhile.
+        if lacks_secret and await self.rows.read_secret() is None:
+            await self._write_secret()
+
+    async def _write_registration(self, write: RowWrite) -> None:
         result = await self.rows.store.write([write])
         if result.done:
             self.log("vm-row-restored", key=write.key, era=result.era)
-            return
-        # A late write of this VM was done meanwhile, or the store was restored again.
-        self._has_newer.set()
+        else:
+            # A late write of this VM was done, or the store was restored again.
+            self._has_newer.set()
+
+    async def _write_secret(self) -> None:
+        result = await self.rows.write_secret(self.identity.secret)
+        if result.done:
+            self.log("link-secret-restored", era=result.era)
 
     async def _missing_registration(self, own: RegisteredVm) -> RowWrite | None:
         """Return the write of this VM's row unless the store has it."""
--- a/src/endivelug/forwarding/vm_join.py
+++ b/src/endivelug/forwarding/vm_join.py
@@ -47,6 +47,7 @@
         self.log = log
         self.joined = False
         self.restored = RestoredVmRows(
+            identity=peers.identity,
             rows=rows,
             eras=peers.view.eras,
             vms=lambda: max(peers.vms, len(peers.overlay.registered)),
--- a/src/endivelug/forwarding/vm_rows.py
+++ b/src/endivelug/forwarding/vm_rows.py
@@ -18,6 +18,7 @@
     RowWrite,
     StoredRow,
     StoreVersion,
+    WriteResult,
 )
 
 RETRY_S = 0.5
@@ -76,6 +77,7 @@
         registration = self.make_registration(vm, address, data_centre, cores)
         registered = await self._retry(lambda: self.store.write([registration]))
         await asyncio.sleep(LIST_DELAY_S)
+        new_secret = secrets.token_bytes(SECRET_BYTES)
         attempts = 0
         while True:
             page = await self._retry(lambda: self._read(SECRET_KEY, VM_PREFIX + "\x7f"))
@@ -89,7 +91,7 @@
                 )
             attempts += 1
             if _is_first(vm, vms) or attempts > MAX_SECRET_ATTEMPTS:
-                await self._retry(lambda: self.store.write([self._new_secret()]))
+                await self._retry(lambda: self.write_secret(new_secret))
             else:
                 await asyncio.sleep(SECRET_WAIT_S * self.rng.uniform(1.0, 2.0))
 
@@ -144,6 +146,36 @@
         """
         return self._decode_vms(await self._read(VM_PREFIX, VM_PREFIX + "\x7f"))
 
+    async def read_secret(self) -> bytes | None:
+        """Return the link secret, or None if the store has none.
+
+        Raises
+        ------
+        TableUnavailable
+            If the store does not answer.
+        """
+        row = await self._read_row(SECRET_KEY)
+        return row.value if row is not None else None
+
+    async def write_secret(self, secret: bytes) -> WriteResult:
+        """Write the link secret if the store has none.
+
+        Raises
+        ------
+        TableUnavailable, TableOutcomeUnknown
+            If the store does not answer.
+        """
+        return await self.store.write(
+            [
+                RowWrite(
+                    table=self.table,
+                    key=SECRET_KEY,
+                    value=secret,
+                    expected_version=0,
+                )
+            ]
+        )
+
     def _decode_vms(self, page: RowPage) -> list[RegisteredVm]:
         rows = [row for row in page.rows if row.key.startswith(VM_PREFIX)]
         decoded = [self.decode(row) for row in rows]
@@ -187,14 +219,6 @@
     async def _read(self, first: str, last: str) -> RowPage:
         return await self.store.read(self.table, first=first, last=last)
 
-    def _new_secret(self) -> RowWrite:
-        return RowWrite(
-            table=self.table,
-            key=SECRET_KEY,
-            value=secrets.token_bytes(SECRET_BYTES),
-            expected_version=0,
-        )
-
     async def _retry(self, call: Callable[[], Awaitable[Answer]]) -> Answer:
         """Return the answer of the store; call it until there is one."""
         while True:
--- a/tests/test_restored_nodes.py
+++ b/tests/test_restored_nodes.py
@@ -4,6 +4,8 @@
 from router_process import wait_until
 from store_standin import StoreCopy
 
+SECRET_ROW = ("endivelug", "link-secret")
+
 
 def restore_without(system, *lost):
     """Restore the store from a copy without the rows whose keys begin with ``lost``."""
@@ -45,3 +47,16 @@
                 task.cancel()
 
     asyncio.run(run())
+
+
+# Guards against a link secret that was lost with the copy: each VM that starts later
+# creates one, and its links to the others fail.
+def test_a_lost_link_secret_is_written_again():
+    async def run():
+        async with asyncio.timeout(60), running_nodes(nodes=3, desks=1) as system:
+            secret = system.nodes[0].peers.identity.secret
+            restore_without(system, "link-secret")
+            await wait_until(lambda: SECRET_ROW in system.store.rows, 5)
+            assert system.store.rows[SECRET_ROW][0] == secret
+
+    asyncio.run(run())
--- a/tests/test_restored_vm_rows.py
+++ b/tests/test_restored_vm_rows.py
@@ -7,6 +7,7 @@
 from endivelug.forwarding.restored_vm_rows import RestoredVmRows
 from endivelug.forwarding.store_eras import StoreEras
 from endivelug.forwarding.vm_rows import VmRows
+from endivelug.links import Identity
 from endivelug.platform.store import PlatformStore
 from forwarding_builders import LogRecorder
 from router_process import wait_until
@@ -29,7 +30,11 @@
         self.rows = VmRows(
             store=client, table="endivelug", rng=random.Random(number), log=self.log
         )
+        self.identity = Identity(
+            vm=self.name, data_centre="dc1", role="router", incarnation=1, secret=b""
+        )
         self.restored = RestoredVmRows(
+            identity=self.identity,
             rows=self.rows,
             eras=self.eras,
             vms=lambda: 3,
@@ -50,6 +55,7 @@
         joined = await self.rows.join(
             own.name, address=own.address, data_centre="dc1", cores=0.5
         )
+        self.identity.secret = joined.secret
         (own,) = [item for item in joined.vms if item.name == own.name]
         self.task = asyncio.create_task(self.restored.run(own))
         return own
@@ -84,7 +90,7 @@
                     store.fail_with = 503
                     await asyncio.sleep(0.2)
                     store.fail_with = None
-                await wait_until(lambda: len(store.rows) >= 3)
+                await wait_until(lambda: len(store.rows) >= 4)
                 listed = await vms[0].rows.list_vms()
                 assert sorted(listed, key=lambda vm: vm.precedence) == registered
                 assert "vm-row-restored" in vms[2].log.events()
