Adopt the link secret of a VM that started after a restoration

VMs that ran before a restoration of the store and one that started right after it could have different link secrets until they were restarted, so that no link between them opens.

Cause: a VM that finds no link secret creates one. Where the copy had none, the others kept theirs. Change: a VM that meets a new era uses the secret that the store has then. The secret of an era is written on the condition that there is none, so it never changes within the era and all VMs end with the same one. Open links stay open. The line link-secret-adopted tells of it. A test with two restorations, lost answers and VMs that start in between ends with one secret; 490 simulated VMs stay under half of the store's limits in every second.

--- a/src/endivelug/forwarding/restored_vm_rows.py
+++ b/src/endivelug/forwarding/restored_vm_rows.py
@@ -84,14 +84,14 @@
     async def _restore(self, own: RegisteredVm) -> None:
         await self._sleep(VMS_READING_PER_S)
         registration = await self._missing_registration(own)
-        lacks_secret = await self.rows.read_secret() is None
+        lacks_secret = not await self._adopt_secret()
         if registration is None and not lacks_secret:
             return
         await self._sleep(VMS_WRITING_PER_S)
         if registration is not None:
             await self._write_registration(registration)
         # Most VMs find that another one has written the secret meanwhile.
-        if lacks_secret and await self.rows.read_secret() is None:
+        if lacks_secret and not await self._adopt_secret():
             await self._write_secret()
 
     async def _write_registration(self, write: RowWrite) -> None:
@@ -106,6 +106,21 @@
         result = await self.rows.write_secret(self.identity.secret)
         if result.done:
             self.log("link-secret-restored", era=result.era)
+        elif not await self._adopt_secret():
+            # The store was restored again.
+            self._has_newer.set()
+
+    async def _adopt_secret(self) -> bool:
+        """Use the secret that the store has; return whether it has one.
+
+        A VM that started before the secret was written again may have created another.
+        Links that are open stay open; new ones need the same secret on both sides.
+        """
+        secret = await self.rows.read_secret()
+        if secret and secret != self.identity.secret:
+            self.identity.secret = secret
+            self.log("link-secret-adopted", era=self.eras.newest)
+        return secret is not None
 
     async def _missing_registration(self, own: RegisteredVm) -> RowWrite | None:
         """Return the write of this VM's row unless the store has it."""
--- a/tests/test_restored_nodes.py
+++ b/tests/test_restored_nodes.py
@@ -60,3 +60,21 @@
             assert system.store.rows[SECRET_ROW][0] == secret
 
     asyncio.run(run())
+
+
+# Guards against a VM that started in the gap and created another secret: the others
+# kept theirs, and links between them and that VM failed until the next restart.
+def test_all_vms_use_the_secret_that_a_vm_created_in_the_gap():
+    async def run():
+        async with asyncio.timeout(60), running_nodes(nodes=3, desks=1) as system:
+            restore_without(system, "link-secret")
+            system.store.put("endivelug", "link-secret", b"other" * 6)
+            await wait_until(
+                lambda: (
+                    {node.peers.identity.secret for node in system.nodes}
+                    == {b"other" * 6}
+                ),
+                5,
+            )
+
+    asyncio.run(run())
--- a/tests/test_restored_vm_rows.py
+++ b/tests/test_restored_vm_rows.py
@@ -1,10 +1,14 @@
 import asyncio
 import contextlib
 import random
+from collections import Counter
+
+from measurements._virtual_loop import VirtualLoop
 
 from endivelug.forwarding.connection_pool import ConnectionPool
 from endivelug.forwarding.overlay import RegisteredVm
 from endivelug.forwarding.restored_vm_rows import RestoredVmRows
+from endivelug.forwarding.row_store import RowPage, StoredRow, WriteResult
 from endivelug.forwarding.store_eras import StoreEras
 from endivelug.forwarding.vm_rows import VmRows
 from endivelug.links import Identity
@@ -14,6 +18,33 @@
 from store_standin import running_store
 
 
+class RecordingStore:
+    """Store that was restored from an empty copy, and records when it is called."""
+
+    def __init__(self, calls):
+        self.calls = calls
+        self.rows = {}
+
+    def _record(self, kind):
+        self.calls.append((kind, asyncio.get_running_loop().time()))
+
+    async def read(self, table, *, first="", last=""):
+        self._record("read")
+        rows = [row for key, row in self.rows.items() if first <= key < last]
+        return RowPage(rows=rows, version=len(self.rows), era=2)
+
+    async def write(self, writes):
+        self._record("write")
+        (write,) = writes
+        if write.key in self.rows:
+            return WriteResult(done=False, version=0, era=2)
+        version = len(self.rows) + 1
+        self.rows[write.key] = StoredRow(
+            table=write.table, key=write.key, value=write.value, version=version, era=2
+        )
+        return WriteResult(done=True, version=version, era=2)
+
+
 class JoinedVm:
     """A VM that has joined and restores its rows."""
 
@@ -133,3 +164,72 @@
             vm.task.cancel()
 
     asyncio.run(run())
+
+
+# Guards against VMs with different secrets after a restoration during which they start,
+# stop to reach the store, or write at the same time.
+def test_all_vms_agree_on_one_secret_after_any_restoration():
+    async def run():
+        async with running_store() as store:
+            store.era, empty = 1, store.take_copy()
+            async with joined_vms(store, 3) as (vms, _):
+                for _ in range(2):
+                    store.restore(empty)
+                    unaware, *aware = vms
+                    for vm in aware:
+                        vm.eras.observe(store.era)
+                    late = JoinedVm(store, len(vms))
+                    vms.append(late)
+                    store.lose_answers = True
+                    await asyncio.sleep(0.4)
+                    store.lose_answers = False
+                    await late.join()
+                    unaware.eras.observe(store.era)
+                await asyncio.sleep(2.0)
+                assert len({vm.identity.secret for vm in vms}) == 1
+                assert len(await vms[0].rows.list_vms()) == 5
+
+    asyncio.run(run())
+
+
+# Guards against calls of a large deployment that exceed the limits of the store: 2,000
+# reads a second, and 150 transactions a second in one part of a table.
+def test_the_calls_of_490_vms_are_spread():
+    async def scenario():
+        loop, calls = asyncio.get_running_loop(), []
+        client = RecordingStore(calls)
+        tasks = []
+        for number in range(490):
+            eras = StoreEras(clock=loop.time)
+            eras.observe(1)
+            restored = RestoredVmRows(
+                identity=Identity(
+                    vm="vm", data_centre="d", role="router", incarnation=1, secret=b"1"
+                ),
+                rows=VmRows(
+                    store=client,
+                    table="t",
+                    rng=random.Random(number),
+                    log=LogRecorder(),
+                ),
+                eras=eras,
+                vms=lambda: 490,
+                rng=random.Random(number),
+                log=LogRecorder(),
+            )
+            own = RegisteredVm(
+                name=f"vm{number}", address="a:1", data_centre="d", joined=number
+            )
+            tasks.append(asyncio.create_task(restored.run(own)))
+            eras.observe(2)
+        await asyncio.sleep(30.0)
+        for task in tasks:
+            task.cancel()
+        for kind, limit in (("read", 2000 / 2), ("write", 150 / 2)):
+            seconds = Counter(int(at) for name, at in calls if name == kind)
+            assert 0 < max(seconds.values()) < limit
+        writes = [name for name, _ in calls if name == "write"]
+        assert 490 <= len(writes) <= 500
+
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        runner.run(scenario())
