Look for a row that was lost while its VM registered

A VM could stay unlisted for good after a restoration of the store.

Cause: a VM looks for its rows when it meets a newer era than the one before. If a feed named the new era before the answer to the VM's registration came, no newer one was met after it. Change: a VM that registered in an era below the newest one looks for its rows at once.

--- a/src/endivelug/forwarding/restored_vm_rows.py
+++ b/src/endivelug/forwarding/restored_vm_rows.py
@@ -63,6 +63,9 @@
         own : RegisteredVm
             This VM as it has registered.
         """
+        if (self.eras.newest or 0) > own.joined_era:
+            # The answer to the registration came after one of a newer era.
+            self._has_newer.set()
         while True:
             await self._has_newer.wait()
             self._has_newer.clear()
--- a/tests/test_restored_vm_rows.py
+++ b/tests/test_restored_vm_rows.py
@@ -2,6 +2,7 @@
 import contextlib
 import random
 from collections import Counter
+from dataclasses import replace
 
 from measurements._virtual_loop import VirtualLoop
 
@@ -87,7 +88,7 @@
             own.name, address=own.address, data_centre="dc1", cores=0.5
         )
         self.identity.secret = joined.secret
-        (own,) = [item for item in joined.vms if item.name == own.name]
+        own = replace(own, joined=joined.version.number, joined_era=joined.version.era)
         self.task = asyncio.create_task(self.restored.run(own))
         return own
 
@@ -166,6 +167,24 @@
     asyncio.run(run())
 
 
+# Guards against a row that is lost while its VM registers, where the feed named the new
+# era before the answer to the registration came.
+def test_a_row_that_was_lost_before_its_answer_came_is_written_again():
+    async def run():
+        async with running_store() as store:
+            store.era, copy, vm = 1, store.take_copy(), JoinedVm(store, 1)
+            vm.eras.observe(2)
+            joining = asyncio.create_task(vm.join())
+            await wait_until(lambda: store.rows)
+            store.restore(copy)
+            own = await joining
+            await wait_until(lambda: "vm-row-restored" in vm.log.events())
+            assert await vm.rows.list_vms() == [own]
+            vm.task.cancel()
+
+    asyncio.run(run())
+
+
 # Guards against VMs with different secrets after a restoration during which they start,
 # stop to reach the store, or write at the same time.
 def test_all_vms_agree_on_one_secret_after_any_restoration():
