Play restorations of the store against the order sender

Nobody sees a change.

Cause: the real lease, keeper and order sender had not been played together with a store that comes back from an older copy. Change: the simulated row of the lease can be restored, to nothing or to one of its last values, and random faults of test_weights_orders.py do so in a fifth of the steps, with and without engines that check fencing numbers. Evidence: 30 plays keep one sender at a time and rising numbers.

--- a/tests/order_simulation.py
+++ b/tests/order_simulation.py
@@ -43,6 +43,22 @@
         self.row = None
         self.rng = rng
         self.lose_share = 0.0
+        self.era = 0
+        self.former_rows = [None]
+
+    @property
+    def version(self):
+        """Version that the answers of the store state."""
+        revision = self.row.mod_revision if self.row else 0
+        return TableVersion(era=self.era, revision=revision)
+
+    def restore(self, rng):
+        """Come back from a copy without the row, or with one of the last rows."""
+        count = len(self.former_rows)
+        kept = rng.choice((0, rng.randrange(max(0, count - 8), count)))
+        del self.former_rows[kept + 1 :]
+        self.row = self.former_rows[kept]
+        self.era += 1
 
     async def get(self, vm):
         await vm.wait_until_running()
@@ -72,6 +88,7 @@
             return TransactionResult(succeeded=False, rows=rows, nested=[])
         revision = self.row.mod_revision + 1 if self.row else 1
         self.row = Row(key=write.key, value=write.value, mod_revision=revision)
+        self.former_rows.append(self.row)
         return TransactionResult(succeeded=True, rows=[], nested=[])
 
 
@@ -226,10 +243,17 @@
         self.version = TableVersion()
 
     async def get(self, key):
-        return await self.row.get(self.vm)
+        row = await self.row.get(self.vm)
+        self.version = self.row.version
+        return row
 
     async def run(self, transaction):
-        return await self.row.run(self.vm, transaction)
+        era = self.version.era
+        result = await self.row.run(self.vm, transaction)
+        if self.row.era != era:
+            raise TableOutcomeUnknown("restored")
+        self.version = self.row.version
+        return result
 
 
 def make_vms(*, count, engines, checks_fencing, seed):
--- a/tests/test_weights_orders.py
+++ b/tests/test_weights_orders.py
@@ -84,9 +84,13 @@
     run_simulation(scenario)
 
 
-async def play_random_faults(*, seed, checks_fencing, duration_s):
-    """Play kills, freezes, cuts, lost answers and late orders; return the engines."""
+async def play_random_faults(*, seed, checks_fencing, duration_s, restored_share=0.0):
+    """Play kills, freezes, cuts, lost answers and late orders; return the engines.
+
+    In ``restored_share`` of the steps the store comes back from an older copy.
+    """
     rng = random.Random(seed)
+    restorations = random.Random(f"restored {seed}")
     engines = make_engines(4)
     vms, row = make_vms(
         count=3, engines=engines, checks_fencing=checks_fencing, seed=seed
@@ -96,6 +100,8 @@
     version = 1
     for _ in range(int(duration_s)):
         await asyncio.sleep(rng.uniform(0.3, 1.7))
+        if restorations.random() < restored_share:
+            row.restore(restorations)
         vm = rng.choice(vms)
         match rng.randrange(7):
             case 0:
@@ -157,6 +163,27 @@
     run_simulation(scenario)
 
 
+# Guards against two holders whose orders overlap, and numbers that go back, after the
+# store came back from an older copy in any series of faults.
+@pytest.mark.parametrize("checks_fencing", [True, False])
+@pytest.mark.parametrize("seed", range(15))
+def test_orders_never_overlap_on_a_restored_store(seed, checks_fencing):
+    async def scenario():
+        engines = await play_random_faults(
+            seed=seed,
+            checks_fencing=checks_fencing,
+            duration_s=60,
+            restored_share=0.2,
+        )
+        for engine in engines.values():
+            assert engine.arrivals
+            assert_one_sender_at_a_time(
+                engine, gap_s=0.0 if checks_fencing else TURN_GAP_S
+            )
+
+    run_simulation(scenario)
+
+
 # Guards against an order that is sent after the lease has ended, because connecting to
 # the engine took long.
 def test_no_order_is_sent_if_the_lease_ended_while_connecting():
