--- a/src/endivelug/leases.py
+++ b/src/endivelug/leases.py
@@ -3,7 +3,9 @@
 The holder of the lease is the only VM of a data centre that sends orders to engines.
 Clocks of different hosts are never compared. The holder counts the lease from a time
 before its write; a candidate counts from the time at which it first read the row,
-which is later. Source: Gray and Cheriton, "Leases: an efficient fault-tolerant
+which is later. In a table that was restored from an older copy, a lease of the former
+era may be held that nobody can see; it counts from the time at which the VM met the new
+era. Source: Gray and Cheriton, "Leases: an efficient fault-tolerant
 mechanism for distributed file cache consistency", SOSP 1989.
 """
 
@@ -12,18 +14,22 @@
 
 import cbor2
 
+from endivelug.fencing_numbers import MAX_FENCING_ERA, fencing_era, next_fencing
 from endivelug.transactions import (
     Absent,
     Condition,
     Get,
     Put,
     Row,
+    TableVersion,
     Transaction,
     TransactionResult,
     ValueEquals,
 )
 
 RECORD_VERSION = 1
+# Version of a table that is never restored.
+FIRST_ERA = TableVersion()
 
 
 def lease_key(data_centre: str) -> str:
@@ -40,7 +46,8 @@
     holder : str
         Name of the VM that holds the lease; empty after it resigned.
     fencing : int
-        Fencing number, incremented by one whenever the lease is acquired.
+        Fencing number, which rises whenever the lease is acquired; see
+        ``fencing_numbers``.
     nonce : bytes
         Unique to each write, so that every renewal changes the row.
     """
@@ -83,12 +90,15 @@
         Time before the write, from which the lease's duration counts.
     ready_at : float
         Time from which orders may be sent under the lease.
+    era : int
+        Era of the table in which the row was read that the write replaces.
     """
 
     transaction: Transaction
     record: LeaseRecord
     started: float
     ready_at: float
+    era: int
 
 
 class Lease:
@@ -120,6 +130,11 @@
         Last known value of the row; None if the row did not exist.
     row_changed_at : float
         Time at which this value was first read or was written by this VM.
+    version : TableVersion
+        Version of the table that was stated with the last read or write of the row.
+    ready_not_before : float
+        Time from which no lease of a former era of the table can be held and the orders
+        under it have ended.
     row_is_fresh : bool
         Whether ``row_value`` may be used for a write; False requires a read first.
     """
@@ -144,6 +159,8 @@
         self.row_value: bytes | None = None
         self.row_changed_at = float("-inf")
         self.row_is_fresh = False
+        self.version = FIRST_ERA
+        self.ready_not_before = float("-inf")
         self._pending_writes: dict[bytes, LeaseWrite] = {}
 
     @property
@@ -182,9 +199,43 @@
             return True
         return self.remaining_s(now) > self.order_timeout_s + self.clock_bound_s
 
-    def observe(self, row: Row | None, now: float) -> None:
-        """Update the state from a read of the row; ``now`` is a time after the read."""
+    def meet_era(self, era: int, now: float) -> None:
+        """Note that the table is in an era; ``now`` is a time after it has begun.
+
+        The lease has to be acquired anew: the row may have been lost, and a write of
+        the former era that is done in this one may replace any row.
+        """
+        if era <= self.version.era:
+            return
+        self.version = TableVersion(era=era)
+        lease_ends_at = now + self.lease_s + self.clock_bound_s
+        self.ready_not_before = lease_ends_at + self._handover_s
+        self.held_write = None
+        self._pending_writes.clear()
+        self.row_is_fresh = False
+        self.row_changed_at = float("-inf")
+
+    def observe(
+        self, row: Row | None, now: float, version: TableVersion = FIRST_ERA
+    ) -> None:
+        """Update the state from a read of the row.
+
+        Parameters
+        ----------
+        row : Row or None
+            The row; None if it does not exist.
+        now : float
+            A time after the read.
+        version : TableVersion
+            Version of the table that was stated with the read.
+        """
+        self.meet_era(version.era, now)
+        if version.era < self.version.era:
+            # An answer that was under way when a later one named the new era.
+            self.row_is_fresh = False
+            return
         value = row.value if row else None
+        self.version = version
         self.row_is_fresh = True
         written = self._pending_writes.get(value) if value is not None else None
         if written is not None:
@@ -206,21 +257,25 @@
         LeaseWrite or None
             None if another VM holds the lease or the row has to be read first.
         """
-        if not self.row_is_fresh:
+        if not self.row_is_fresh or self.version.era > MAX_FENCING_ERA:
             return None
         record = parse_lease(self.row_value) if self.row_value is not None else None
         if self.held_write is not None and self.remaining_s(now) > 0:
             fencing, ready_at = self.fencing, self.held_write.ready_at
         elif record is None:
-            fencing, ready_at = 1, now
-        elif record.holder == "":
-            # A holder resigns only after its last order has ended.
-            fencing, ready_at = record.fencing + 1, now + self.handover_gap_s
+            fencing, ready_at = next_fencing(0, self.version), now
+        elif record.holder == "" and fencing_era(record.fencing) == self.version.era:
+            # A holder resigns only after its last order has ended. A resignation of a
+            # former era may have been done late and replaced the row of a holder.
+            fencing = next_fencing(record.fencing, self.version)
+            ready_at = now + self.handover_gap_s
         elif now > self.row_changed_at + self.lease_s + self.clock_bound_s:
-            wait_s = max(self.order_timeout_s + self.clock_bound_s, self.handover_gap_s)
-            fencing, ready_at = record.fencing + 1, now + wait_s
+            fencing = next_fencing(record.fencing, self.version)
+            ready_at = now + self._handover_s
         else:
             return None
+        # Whatever a restored table says, an older lease may be held.
+        ready_at = max(ready_at, self.ready_not_before)
         return self._build_write(
             LeaseRecord(holder=self.vm, fencing=fencing, nonce=nonce), now, ready_at
         )
@@ -239,7 +294,11 @@
         return self._build_write(record, now, now)
 
     def apply_result(
-        self, write: LeaseWrite, result: TransactionResult, now: float
+        self,
+        write: LeaseWrite,
+        result: TransactionResult,
+        now: float,
+        version: TableVersion = FIRST_ERA,
     ) -> None:
         """Update the state from the result of a write.
 
@@ -251,13 +310,19 @@
             Result of its transaction.
         now : float
             A time after the write.
+        version : TableVersion
+            Version of the table that was stated with the result.
         """
-        if result.succeeded:
+        self.meet_era(version.era, now)
+        if result.succeeded and not write.era == version.era == self.version.era:
+            self.invalidate()
+        elif result.succeeded:
+            self.version = version
             self.row_value = write.record.encode()
             self.row_changed_at = now
             self._set_held_write(write)
         else:
-            self.observe(result.rows[0] if result.rows else None, now)
+            self.observe(result.rows[0] if result.rows else None, now, version)
 
     def invalidate(self) -> None:
         """Require a read of the row before the next write.
@@ -267,6 +332,11 @@
         """
         self.row_is_fresh = False
 
+    @property
+    def _handover_s(self) -> float:
+        """Seconds from the end of a lease to the next holder's first order."""
+        return max(self.order_timeout_s + self.clock_bound_s, self.handover_gap_s)
+
     def _build_write(
         self, record: LeaseRecord, now: float, ready_at: float
     ) -> LeaseWrite:
@@ -283,6 +353,7 @@
             record=record,
             started=now,
             ready_at=ready_at,
+            era=self.version.era,
         )
         self._pending_writes[value] = write
         return write
