Keep the order of VMs across a restoration of the store

What operators would see: after each restoration, VMs that the copy had lost came before or after others depending on who had read the list again, so that relays and links were chosen anew.

Cause: VMs were sorted by the era and number of their registration. A row that the copy has is read with the new era, one that was written again states the era of its first writing. Change: the number is compared before the era. It is the same in all eras for the rows that were kept, and written again for the others.

Ruled out: writing the rows of all VMs again, which costs one write for each VM.

--- a/src/endivelug/forwarding/overlay.py
+++ b/src/endivelug/forwarding/overlay.py
@@ -12,8 +12,6 @@
 from collections.abc import Collection
 from dataclasses import dataclass, field
 
-from endivelug.forwarding.row_store import StoreVersion
-
 # Least number of relays in each data centre. There are more in a large deployment, so
 # that a relay has about as many members as links to other relays.
 RELAYS_PER_DATA_CENTRE = 2
@@ -49,14 +47,18 @@
     joined_era: int = 0
 
     @property
-    def joined_version(self) -> StoreVersion:
-        """Version of the store at which the VM registered."""
-        return StoreVersion(era=self.joined_era, number=self.joined)
+    def joined_order(self) -> tuple[int, int, str]:
+        """Key by which VMs are sorted in the order in which they registered.
+
+        The number comes before the era: a row that a restoration has kept is read in
+        the new era, with the number that it had.
+        """
+        return (self.joined, self.joined_era, self.name)
 
     @property
-    def precedence(self) -> tuple[float, StoreVersion, str]:
+    def precedence(self) -> tuple[float, tuple[int, int, str]]:
         """Key by which the VMs of a data centre become relays, the smallest first."""
-        return (-round(self.cores, 1), self.joined_version, self.name)
+        return (-round(self.cores, 1), self.joined_order)
 
     def states_same(self, other: "RegisteredVm") -> bool:
         """Return whether another registration of the VM says the same of it."""
--- a/src/endivelug/forwarding/vm_rows.py
+++ b/src/endivelug/forwarding/vm_rows.py
@@ -230,5 +230,5 @@
 
 
 def _is_first(vm: str, vms: list[RegisteredVm]) -> bool:
-    first = min(vms, key=lambda item: item.joined_version, default=None)
+    first = min(vms, key=lambda item: item.joined_order, default=None)
     return first is not None and first.name == vm
--- a/tests/test_restored_vm_rows.py
+++ b/tests/test_restored_vm_rows.py
@@ -252,3 +252,25 @@
 
     with asyncio.Runner(loop_factory=VirtualLoop) as runner:
         runner.run(scenario())
+
+
+# Guards against VMs that change their order as relays, because the rows of some were in
+# the copy and others were written again.
+def test_vms_keep_their_order_if_the_copy_has_some_of_their_rows():
+    async def run():
+        async with running_store() as store:
+            store.era = 1
+            async with joined_vms(store, 2) as (vms, _):
+                copy = store.take_copy()
+                late = JoinedVm(store, 2)
+                await late.join()
+                store.restore(copy)
+                for vm in (*vms, late):
+                    vm.eras.observe(store.era)
+                await wait_until(lambda: ("endivelug", "vm/vm2") in store.rows)
+                late.task.cancel()
+                listed = await vms[0].rows.list_vms()
+                in_order = sorted(listed, key=lambda vm: vm.precedence)
+                assert [vm.name for vm in in_order] == ["vm0", "vm1", "vm2"]
+
+    asyncio.run(run())
