--- a/tests/test_peer_eras.py
+++ b/tests/test_peer_eras.py
@@ -8,6 +8,7 @@
 import pytest
 
 from endivelug.forwarding import state_sync
+from endivelug.forwarding.peer_messages import RowsRequest
 from endivelug.forwarding.row_store import RowPage
 from endivelug.forwarding.state_sync import StateSync
 from endivelug.forwarding.store_eras import MAX_ERA
@@ -167,3 +168,33 @@
         assert servers(one.view) == {"e1", "e6"}
 
     run_scenario(scenario)
+
+
+# Guards against a VM that does not ask the store about an era that a report names,
+# because the versions of the tables have not changed.
+def test_a_report_alone_tells_of_a_newer_era():
+    async def scenario(one, two):
+        load_tables(one.view, 7)
+        await wait_until(lambda: two.view.complete)
+        one.view.eras.observe(1)
+        one.announce()
+        await wait_until(lambda: two.view.eras.newest == 1, 1.5)
+
+    run_scenario(scenario)
+
+
+# Guards against a table of two eras.
+def test_a_part_of_a_table_of_a_newer_era_is_not_applied():
+    async def scenario(one, two):
+        load_tables(one.view, 7)
+        load_tables(two.view, 7)
+        restore_in(two, 1)
+        request = RowsRequest(table="servers", after=50, era=1)
+        reply = two.rows.answer(request)
+        assert {row.key for row in reply.rows} == {"e1", "e9"}
+        assert not reply.complete
+        one.rows._apply(reply, "vm2")
+        assert one.view.latest_versions["servers"].era == 0
+        assert servers(one.view) == {"e1"}
+
+    run_scenario(scenario)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -97,6 +97,19 @@
     run_with_store(scenario)
 
 
+# Guards against a VM that meets a newer era late, because the store refuses its calls.
+def test_a_refusal_of_the_store_tells_its_era():
+    async def scenario(store, store_standin):
+        eras = []
+        store.on_answer = eras.append
+        store_standin.era, store_standin.fail_with = 3, 503
+        with pytest.raises(TableUnavailable):
+            await store.read("op")
+        assert eras == [3]
+
+    run_with_store(scenario)
+
+
 # Guards against taking a row that was lost for the one that got its version afterwards.
 def test_a_condition_of_a_former_era_leaves_the_outcome_unknown():
     async def scenario(store, store_standin):
--- a/tests/test_restored_rows.py
+++ b/tests/test_restored_rows.py
@@ -240,3 +240,55 @@
     assert serving(view) == ["e1"]
     apply(view, entry_2(56, seq=91))
     assert serving(view) == ["e1", "e2"]
+
+
+# Guards against an upstream that stays in use although the store lost it twice, because
+# a peer of the first era tells a later entry of that one.
+def test_an_entry_of_a_former_era_does_not_end_a_provisional_removal():
+    clock = ManualClock()
+    view = make_view(clock)
+    restore(view, "servers", entry_row(20, era=1, seq=6))
+    restore(view, "servers", era=2)
+    view.apply([entry_row(70, seq=9)], source="peer/vm2")
+    clock.now += REREGISTRATION_S + 0.1
+    view.expire()
+    assert serving(view) == []
+
+
+# Guards against an older entry that is written again and revives a draining upstream
+# which the copy lacks.
+def test_an_older_entry_does_not_revive_a_draining_upstream_that_the_copy_lacks():
+    view = make_view(ManualClock())
+    apply(view, entry_row(61, seq=9, state="draining"))
+    restore(view, "servers")
+    apply(view, entry_row(53, era=1, seq=7))
+    assert serving(view) == []
+
+
+# Guards against rows of two eras in one table: a peer takes the highest number of all
+# rows for the version of the page, and would drop rows that it lacks.
+def test_removals_of_the_former_era_are_filed_under_the_new_one():
+    view = make_view(ManualClock())
+    apply(view, removal(90))
+    restore(view, "servers")
+    rows = view.rows.rows_after("servers", StoreVersion())
+    assert {row.row.store_version for row in rows} == {StoreVersion(era=1, number=30)}
+
+
+# Guards against an upstream of a former era that this VM takes for a new one.
+def test_an_unknown_entry_of_the_former_era_is_ignored():
+    view = make_view(ManualClock())
+    restore(view, "servers")
+    view.apply([entry_2(90, era=0)], source="peer/vm2")
+    assert view.registry.get("e2") is None
+
+
+# Guards against dropping upstreams in an outage, because a peer read a restored store.
+def test_a_restoration_read_from_a_peer_does_not_end_an_outage_of_the_registry():
+    clock = ManualClock()
+    view = make_view(clock)
+    view.registry.record_registry_lost()
+    restore(view, "servers")
+    clock.now += REREGISTRATION_S + 0.1
+    view.expire()
+    assert serving(view) == ["e1"]
