Evict the oldest lingering connection when there is no room

What callers saw: 50 callers that asked for the close of their connection and did not read their answers kept all others out for up to 30 s, where 50 connections are allowed.

Cause: since connections are closed so that callers can read their answers, each waits for its caller and counts towards the bound, and nothing could evict it. Change: at the bound the one that has waited for longest is closed, after idle connections and before slow bodies. In a stop it is kept, as its caller still reads.

Ruled out: not counting these connections, which would let them use up the descriptors.

--- a/src/endivelug/forwarding/buffers/lingering_close.py
+++ b/src/endivelug/forwarding/buffers/lingering_close.py
@@ -35,7 +35,7 @@
     def __init__(self, *, clock: Callable[[], float]) -> None:
         self.clock = clock
         self.until = float("inf")
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: dict[asyncio.Task[None], None] = {}
 
     def __len__(self) -> int:
         """Return the number of connections that wait for their peers."""
@@ -54,8 +54,17 @@
             return
         stream.close()
         task = asyncio.get_running_loop().create_task(self._drop_until_closed(sock))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks[task] = None
+        task.add_done_callback(lambda ended: self._tasks.pop(ended, None))
+
+    def close_oldest(self) -> bool:
+        """Close the connection that has waited for longest; return whether one did."""
+        task = next(iter(self._tasks), None)
+        if task is None:
+            return False
+        del self._tasks[task]
+        task.cancel()
+        return True
 
     async def wait(self, *, until: float) -> None:
         """Wait until the connections are closed, and close what is left at a time."""
--- a/src/endivelug/forwarding/front_server.py
+++ b/src/endivelug/forwarding/front_server.py
@@ -244,7 +244,12 @@
         limit = self.max_connections()
         if not limit or self.max_open < limit or self.connections < limit:
             return True
-        return self.idle.close_oldest() or self.guard.close_slowest()
+        if self.idle.close_oldest():
+            return True
+        # In a stop, callers that still read their answers come before new ones.
+        if not self.closing and self.closer.close_oldest():
+            return True
+        return self.guard.close_slowest()
 
     def _head_received(self, reader: RequestReader) -> None:
         self.idle.discard(reader)
