Count a key as revoked only for requests that were decided on before its grant

The soak reported "allowed although revoked" for requests that the router had read after the configuration that grants the key again.

Change: a request counts for a period of revocation if the router had decided on it before the period ended: 0.1 s after all of it could be read, or with its answer. Before, being sent before the end was enough. The begin of the period is as strict as before, and requests that were decided on before the grant are still reported.

--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -18,6 +18,8 @@
 APPLY_S = 2.0
 MACHINE_SLACK_S = 0.5
 MIN_SERVED_SHARE = 0.9
+# A router decides on a request within this time after it can read all of it.
+DECISION_S = 0.1
 # Below this number of requests, the served share is not significant.
 MIN_REQUESTS = 30
 
@@ -172,7 +174,8 @@
             denied = outcome.status in (401, 403, 404)
             if period.allowed and denied and outcome.ended_at < period.ends_at:
                 return [f"denied although allowed: {outcome}"]
-            if not period.allowed and outcome.status and not denied:
+            accepted = not period.allowed and outcome.status and not denied
+            if accepted and _decided_before(outcome, period.ends_at):
                 return [f"allowed although revoked: {outcome}"]
         return []
 
@@ -242,3 +245,12 @@
         if len(outcomes) >= MIN_REQUESTS and served < MIN_SERVED_SHARE * len(outcomes):
             return [f"served {served} of {len(outcomes)} requests in undisturbed times"]
         return []
+
+
+def _decided_before(outcome: Outcome, at: float) -> bool:
+    """Return whether the router had decided on a request before a time.
+
+    The key is checked again once the whole request has arrived, by then perhaps under
+    the next configuration.
+    """
+    return min(outcome.readable_at + DECISION_S, outcome.ended_at) < at
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -161,6 +161,23 @@
     )
 
 
+# Guards against reporting a request on which the router decided under the configuration
+# that granted its key again, and against not reporting one that was read before.
+@pytest.mark.parametrize(
+    ("last_byte_at", "granted_at", "reported"),
+    [(50.0, 50.15, True), (50.0, 50.05, False), (50.1, 50.15, False)],
+)
+def test_a_request_that_crosses_the_grant_of_its_key_is_allowed(
+    last_byte_at, granted_at, reported
+):
+    period = KeyPeriod(key="k3", allowed=False, begins_at=40.0, ends_at=granted_at)
+    outcome = make_outcome(key="k3", last_byte_at=last_byte_at)
+    violations = check(
+        outcome, runs=[make_run(organisation="org3")], key_periods=[period]
+    )
+    assert any("although revoked" in line for line in violations) == reported
+
+
 # Guards against not reporting a retry storm.
 def test_an_exceeded_retry_budget_is_reported():
     record = UpstreamRecord()
