Count a request of the product's interface as in flight until it is written

What callers saw: a caller that reads slowly lost the rest of a whole answer at a planned stop of the router with the product's own interface (3.9 of 8 MB arrived), while its log says that nothing was left.

A request counted as ended when its handler had finished, with its answer still in the process, and the stop closes connections once no request is in flight. Change: it counts until everything before an empty write has been written, within the time limit of the stop.

What remains: a close with unread bytes still resets, and an announced close is not final there.

--- a/src/endivelug/caller_handler.py
+++ b/src/endivelug/caller_handler.py
@@ -108,8 +108,14 @@
         return self.early_refusal is not None
 
     def on_finish(self) -> None:
-        """Remove the request from the requests in flight."""
-        self.context.in_flight.discard(self)
+        """Remove the request from those in flight once its response is written."""
+        stream: Any = getattr(self.request.connection, "stream", None)
+        if stream is None or stream.closed() or not stream.writing():
+            self.context.in_flight.discard(self)
+            return
+        # A slow caller has not taken everything that came before the empty write.
+        written = stream.write(b"")
+        written.add_done_callback(lambda _: self.context.in_flight.discard(self))
 
     def on_connection_close(self) -> None:
         """Cancel the work for a caller that has disconnected."""
