Give the highest era that a peer may name one definition

The bound stood twice, as a number here and as the bound of fencing numbers; a change of one would have left VMs that believe an era in which none of them takes the order lease. The value is the same. tests/test_peer_eras.py, mypy and ruff pass.

--- a/src/endivelug/forwarding/store_eras.py
+++ b/src/endivelug/forwarding/store_eras.py
@@ -8,8 +8,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-# Highest era that a peer may name: one restoration a day for 40 years.
-MAX_ERA = 2**14 - 1
+from endivelug.fencing_numbers import MAX_FENCING_ERA
+
+# Highest era that a peer may name; no lease is taken in a later one.
+MAX_ERA = MAX_FENCING_ERA
 
 
 def _ignore_unusable(peer: str, era: int) -> None:
