--- a/src/endivelug/forwarding/cluster_view.py
+++ b/src/endivelug/forwarding/cluster_view.py
@@ -82,7 +82,6 @@
         self.desired_weights: dict[str, DesiredWeights] = {}
         self.registry = InstanceRegistry()
         self.eras = StoreEras(
-            clock=clock,
             on_unusable=lambda peer, era: self.log("era-unusable", peer=peer, era=era),
         )
         self.loads = InstanceLoads()
--- a/src/endivelug/forwarding/store_eras.py
+++ b/src/endivelug/forwarding/store_eras.py
@@ -30,19 +30,15 @@
         Newest era that an answer of the store named; None until the first answer.
     refuted : int or None
         Lowest era that a peer named and the store did not confirm.
-    met_at : float
-        Time at which the newest era was first met, also if it was the first one.
     on_newer : list of callable
         Called with the era before and the new one, not for the first one that is met.
     on_unusable : callable
         Called with a peer and an era for the first era of the peer that is ignored.
     """
 
-    clock: Callable[[], float]
     newest: int | None = None
     confirmed: int | None = None
     refuted: int | None = None
-    met_at: float = float("-inf")
     on_newer: list[Callable[[int, int], None]] = field(default_factory=list)
     on_unusable: Callable[[str, int], None] = _ignore_unusable
     _unusable_peers: set[str] = field(default_factory=set)
@@ -91,7 +87,6 @@
     def _meet(self, era: int) -> None:
         before = self.newest
         self.newest = era
-        self.met_at = self.clock()
         if before is not None:
             self._notify(before, era)
 
--- a/tests/test_restored_vm_rows.py
+++ b/tests/test_restored_vm_rows.py
@@ -54,7 +54,7 @@
         self.number = number
         self.log = LogRecorder()
         loop = asyncio.get_running_loop()
-        self.eras = StoreEras(clock=loop.time)
+        self.eras = StoreEras()
         client = PlatformStore(
             address=store.address, pool=ConnectionPool(clock=loop.time)
         )
@@ -215,11 +215,11 @@
 # reads a second, and 150 transactions a second in one part of a table.
 def test_the_calls_of_490_vms_are_spread():
     async def scenario():
-        loop, calls = asyncio.get_running_loop(), []
+        calls = []
         client = RecordingStore(calls)
         tasks = []
         for number in range(490):
-            eras = StoreEras(clock=loop.time)
+            eras = StoreEras()
             eras.observe(1)
             restored = RestoredVmRows(
                 identity=Identity(
